Add the clients of the object store and the host list

Cause: every program reads its configuration, lease and hosts from the platform, and a write's outcome must be told apart truthfully.

--- /dev/null
+++ b/lib/lister/doc.go
@@ -0,0 +1,2 @@
+// Package lister reads the platform's list of hosts.
+package lister
--- /dev/null
+++ b/lib/storer/doc.go
@@ -0,0 +1,2 @@
+// Package storer reads, writes and watches the objects of the platform's store.
+package storer
