--- /dev/null
+++ b/lib/parser/parser.go
@@ -0,0 +1,77 @@
+package parser
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"poplarhook.example/lib/document"
+	"poplarhook.example/lib/violation"
+)
+
+// MaxBytes is the size of the largest document, in bytes.
+const MaxBytes = 1<<20 - 64<<10
+
+// ErrInvalid is what Parse returns for text that is not one well-formed document.
+var ErrInvalid = violation.ErrInvalid
+
+// Parser reads documents, with no field unknown and no value of another kind.
+type Parser struct {
+	maxBytes int
+}
+
+// Option changes how a parser reads.
+type Option func(*Parser)
+
+// WithMaxBytes sets the size of the largest document, in bytes.
+func WithMaxBytes(n int) Option {
+	return func(p *Parser) { p.maxBytes = n }
+}
+
+// New returns a parser.
+func New(options ...Option) Parser {
+	p := Parser{maxBytes: MaxBytes}
+	for _, option := range options {
+		option(&p)
+	}
+	return p
+}
+
+// Parse returns the document that the text holds; it checks form only, not what the values mean.
+func (p Parser) Parse(text []byte) (document.Document, error) {
+	root, err := p.root(text)
+	if err != nil {
+		return document.Document{}, err
+	}
+	var doc document.Document
+	if err := violation.Join(check(root, doc)); err != nil {
+		return document.Document{}, err
+	}
+	if err := root.Decode(&doc); err != nil {
+		return document.Document{}, violation.New("document", err.Error(), "the fields of docs/CONFIGURATION.md")
+	}
+	return doc, nil
+}
+
+func (p Parser) root(text []byte) (*yaml.Node, error) {
+	if len(text) > p.maxBytes {
+		return nil, violation.New("document", fmt.Sprintf("%d bytes", len(text)), fmt.Sprintf("at most %d bytes", p.maxBytes))
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	var file yaml.Node
+	err := decoder.Decode(&file)
+	if errors.Is(err, io.EOF) || (err == nil && len(file.Content) != 1) {
+		return nil, violation.New("document", "", "one YAML or JSON document, not an empty one")
+	}
+	if err != nil {
+		return nil, violation.New("document", err.Error(), "well-formed YAML or JSON")
+	}
+	var next yaml.Node
+	if err := decoder.Decode(&next); !errors.Is(err, io.EOF) {
+		return nil, violation.New("document", "a second document", "exactly one document")
+	}
+	return file.Content[0], nil
+}
