--- /dev/null
+++ b/poplarhook/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the subcommands of poplarhook, one file for each.
+package cmd
--- a/poplarhook/doc.go
+++ b/poplarhook/doc.go
@@ -1,2 +1,2 @@
-// Command poplarhook is a program of poplarhook.
+// Command poplarhook is the entry process that stands between callers and endpoints.
 package main
--- /dev/null
+++ b/poplarhook/models/job/doc.go
@@ -0,0 +1,2 @@
+// Package job holds one caller's request on its way through an entry host.
+package job
--- /dev/null
+++ b/poplarhook/models/refusal/doc.go
@@ -0,0 +1,2 @@
+// Package refusal holds the ways in which a request ends without an endpoint's answer.
+package refusal
--- /dev/null
+++ b/poplarhook/models/report/doc.go
@@ -0,0 +1,2 @@
+// Package report holds what an exchange showed about its endpoint.
+package report
--- /dev/null
+++ b/poplarhook/models/report/report.go
@@ -0,0 +1,74 @@
+package report
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Header is the name of the load report's header, as published with Open Request Cost Aggregation (ORCA).
+const Header = "Endpoint-Load-Metrics"
+
+const jsonForm = "JSON "
+
+// Report is what one exchange showed about its endpoint.
+type Report struct {
+	// Latency is the time from sending to the whole answer.
+	Latency time.Duration
+	// Err is nil when the endpoint gave a whole answer.
+	Err error
+	// Status is the answer's status code, zero without an answer.
+	Status int
+	// Closing says that the endpoint asked to close the connection.
+	Closing bool
+	// Loaded says that the answer carried a load report, which the fields below hold.
+	Loaded      bool
+	Incarnation string
+	Utilization float64
+	Cold        bool
+	Leaving     bool
+	InFlight    int
+	Slots       int
+}
+
+type orca struct {
+	ApplicationUtilization float64 `json:"application_utilization"`
+	NamedMetrics           metrics `json:"named_metrics"`
+	Incarnation            string  `json:"incarnation"`
+}
+
+type metrics struct {
+	InFlight float64 `json:"in_flight"`
+	Slots    float64 `json:"slots"`
+	Cold     float64 `json:"cold"`
+	Leaving  float64 `json:"leaving"`
+}
+
+// FromHeader returns a report with what the answer's head says.
+func FromHeader(status int, header http.Header) Report {
+	r := Report{Status: status, Closing: strings.EqualFold(header.Get("Connection"), "close")}
+	text, ok := strings.CutPrefix(header.Get(Header), jsonForm)
+	if !ok {
+		return r
+	}
+	var o orca
+	if err := json.Unmarshal([]byte(text), &o); err != nil {
+		return r
+	}
+	r.Loaded = true
+	r.Incarnation = o.Incarnation
+	r.Utilization = o.ApplicationUtilization
+	r.Cold = o.NamedMetrics.Cold != 0
+	r.Leaving = o.NamedMetrics.Leaving != 0
+	r.InFlight = int(o.NamedMetrics.InFlight)
+	r.Slots = int(o.NamedMetrics.Slots)
+	return r
+}
+
+// WithResult returns a copy with the exchange's latency and error.
+func (r Report) WithResult(latency time.Duration, err error) Report {
+	r.Latency = latency
+	r.Err = err
+	return r
+}
--- /dev/null
+++ b/poplarhook/models/wish/doc.go
@@ -0,0 +1,2 @@
+// Package wish holds what a request asks of the endpoint it is bound to.
+package wish
--- /dev/null
+++ b/poplarhook/models/wish/wish.go
@@ -0,0 +1,31 @@
+package wish
+
+import (
+	"time"
+
+	"poplarhook.example/poplarhook/models/group"
+)
+
+// Urgencies in rising order.
+const (
+	Low = iota
+	Normal
+	High
+)
+
+// Wish is what a request asks of the endpoint it is bound to.
+type Wish struct {
+	// Groups may serve the request, the preferred one first.
+	Groups   []group.Group
+	Until    time.Time
+	Urgency  int
+	OnceOnly bool
+	// Excluded is the id of an endpoint that must not be bound, empty for none.
+	Excluded string
+}
+
+// WithExcluded returns a copy that must not be bound to the endpoint.
+func (w Wish) WithExcluded(endpoint string) Wish {
+	w.Excluded = endpoint
+	return w
+}
--- /dev/null
+++ b/poplarhook/modules/server/doc.go
@@ -0,0 +1,2 @@
+// Package server runs one HTTP listener until its context ends.
+package server
--- /dev/null
+++ b/poplarhook/routers/caller/caller.go
@@ -0,0 +1,150 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"poplarhook.example/lib/class"
+	"poplarhook.example/poplarhook/models/answer"
+	"poplarhook.example/poplarhook/models/job"
+	"poplarhook.example/poplarhook/models/refusal"
+)
+
+// HeaderRequestID carries the id of a request; an absent one is made up.
+const HeaderRequestID = "X-Request-Id"
+
+const maxRequestID = 128
+
+// classifier finds the class of a request.
+type classifier interface {
+	Classify(method, host, path string) (class.Class, string, error)
+}
+
+// dispatcher takes a classified request to its end.
+type dispatcher interface {
+	Dispatch(ctx context.Context, j job.Job) (*answer.Answer, error)
+}
+
+// Caller is the handler of the callers' side.
+type Caller struct {
+	clock      func() time.Time
+	classifier func() classifier
+	dispatcher dispatcher
+	maxBody    int64
+	counter    func(outcome, class string, took time.Duration)
+}
+
+// Option changes how a Caller is built.
+type Option func(*Caller)
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option {
+	return func(c *Caller) { c.clock = clock }
+}
+
+// WithMaxBody sets the largest body of a request in bytes.
+func WithMaxBody(bytes int64) Option {
+	return func(c *Caller) { c.maxBody = bytes }
+}
+
+// WithCounter sets where the ends of requests are counted.
+func WithCounter(count func(outcome, class string, took time.Duration)) Option {
+	return func(c *Caller) { c.counter = count }
+}
+
+const defaultMaxBody = 1 << 20
+
+// New returns a Caller; classify gives the classifier in force, or nil before there is a configuration.
+func New[C classifier](classify func() (C, bool), d dispatcher, options ...Option) *Caller {
+	c := &Caller{
+		clock:      time.Now,
+		dispatcher: d,
+		maxBody:    defaultMaxBody,
+		counter:    func(string, string, time.Duration) {},
+	}
+	c.classifier = func() classifier {
+		if found, ok := classify(); ok {
+			return found
+		}
+		return nil
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// ServeHTTP classifies, reads, dispatches and answers one request.
+func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := c.clock()
+	j, err := c.read(w, r, arrived)
+	if err != nil {
+		c.refuse(w, j, err)
+		return
+	}
+	a, err := c.dispatcher.Dispatch(r.Context(), j)
+	if err != nil {
+		c.refuse(w, j, err)
+		return
+	}
+	defer a.Close()
+	c.write(w, r, j, a)
+}
+
+// read returns the classified request with its whole body.
+func (c *Caller) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (job.Job, error) {
+	j := job.Job{ID: r.Header.Get(HeaderRequestID), Arrived: arrived}
+	if err := c.check(r); err != nil {
+		return j, err
+	}
+	if j.ID == "" {
+		j.ID = uuid.NewString()
+	}
+	inForce := c.classifier()
+	if inForce == nil {
+		return j, refusal.NotRun(http.StatusServiceUnavailable, "no configuration is in force yet").WithRetryAfter(time.Second)
+	}
+	found, team, err := inForce.Classify(r.Method, r.Host, r.URL.EscapedPath())
+	if err != nil {
+		return j, refusal.NotRun(http.StatusNotFound, err.Error())
+	}
+	j.Class, j.Team = found, team
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.maxBody))
+	if err != nil {
+		return j, bodyRefusal(err)
+	}
+	j.Method, j.URL, j.Host, j.Header, j.Body = r.Method, r.URL, r.Host, r.Header, body
+	j.Until = arrived.Add(found.Deadline())
+	return j, nil
+}
+
+// check refuses what net/http lets through but an endpoint might understand otherwise.
+func (c *Caller) check(r *http.Request) error {
+	if r.Method == http.MethodConnect || r.URL.Host != "" {
+		return refusal.NotRun(http.StatusBadRequest, "request target must be a path")
+	}
+	if r.Header.Get("Upgrade") != "" {
+		return refusal.NotRun(http.StatusBadRequest, "Upgrade is not supported")
+	}
+	if len(r.Header.Values(HeaderRequestID)) > 1 || len(r.Header.Get(HeaderRequestID)) > maxRequestID {
+		return refusal.NotRun(http.StatusBadRequest, "X-Request-Id must be given once, with at most 128 bytes")
+	}
+	if r.ContentLength > c.maxBody {
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body is over "+strconv.FormatInt(c.maxBody, 10)+" bytes")
+	}
+	return nil
+}
+
+func bodyRefusal(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body is over "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	return refusal.NotRun(http.StatusBadRequest, "body broke off")
+}
--- /dev/null
+++ b/poplarhook/routers/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller answers the callers' side of an entry host.
+package caller
--- /dev/null
+++ b/poplarhook/routers/caller/write.go
@@ -0,0 +1,97 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"poplarhook.example/poplarhook/models/answer"
+	"poplarhook.example/poplarhook/models/job"
+	"poplarhook.example/poplarhook/models/refusal"
+)
+
+// problem is the body of a refusal (RFC 9457) with the outcome as an extension member.
+type problem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// refuse answers with problem details that say whether the request may have run.
+func (c *Caller) refuse(w http.ResponseWriter, j job.Job, err error) {
+	var r *refusal.Refusal
+	if !errors.As(err, &r) {
+		r = refusal.Unknown(err.Error())
+	}
+	c.counter(r.Outcome, j.Class.Name, c.clock().Sub(j.Arrived))
+	body, err := json.Marshal(problem{
+		Type:      "about:blank",
+		Title:     http.StatusText(r.Status),
+		Status:    r.Status,
+		Detail:    r.Reason,
+		Outcome:   r.Outcome,
+		RequestID: j.ID,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(r.Status)
+	_, _ = w.Write(body)
+}
+
+// answerHeaders of the endpoint concern only its connection to this host.
+var answerHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Endpoint-Load-Metrics"}
+
+// write passes the answer on and breaks the connection when its rest does not arrive whole.
+func (c *Caller) write(w http.ResponseWriter, r *http.Request, j job.Job, a *answer.Answer) {
+	header := w.Header()
+	for name, values := range a.Header {
+		header[name] = values
+	}
+	for _, name := range answerHeaders {
+		header.Del(name)
+	}
+	header.Set(HeaderRequestID, j.ID)
+	if a.Length >= 0 && bodyAllowed(a.Status) {
+		header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if r.Method != http.MethodHead {
+		c.writeBody(w, j, a)
+	}
+	c.counter("served", j.Class.Name, c.clock().Sub(j.Arrived))
+}
+
+func (c *Caller) writeBody(w http.ResponseWriter, j job.Job, a *answer.Answer) {
+	if _, err := w.Write(a.Start); err != nil {
+		c.abort(j, "caller_gone")
+	}
+	if a.Rest == nil {
+		return
+	}
+	if _, err := io.Copy(w, a.Rest); err != nil {
+		c.abort(j, "broken")
+	}
+}
+
+// abort ends the caller's connection so that a part is never taken for the whole.
+func (c *Caller) abort(j job.Job, outcome string) {
+	c.counter(outcome, j.Class.Name, c.clock().Sub(j.Arrived))
+	panic(http.ErrAbortHandler)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -0,0 +1,108 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/poplarhook/models/answer"
+	"poplarhook.example/poplarhook/models/binding"
+	"poplarhook.example/poplarhook/models/job"
+	"poplarhook.example/poplarhook/models/refusal"
+	"poplarhook.example/poplarhook/models/report"
+	"poplarhook.example/poplarhook/modules/exchanger"
+)
+
+// attempt sends the job once under the binding and reads the start of the answer.
+//
+// The error Is refusal.ErrNotRun only if no byte left or the endpoint promised that it did not run the job.
+func (d *Dispatcher) attempt(ctx context.Context, j job.Job, b binding.Binding) (*answer.Answer, error) {
+	sentAt := d.clock()
+	if !b.ValidAt(sentAt) {
+		d.counter("binding_expired")
+		d.binder.Finish(b, report.Report{Err: exchanger.ErrNotSent})
+		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
+	}
+	response, err := d.sender.Send(ctx, b.Endpoint, j)
+	if err != nil {
+		return nil, d.failed(b, report.Report{}, sentAt, err)
+	}
+	seen := report.FromHeader(response.StatusCode, response.Header)
+	seen.Closing = seen.Closing || response.Close
+	start, whole, err := readStart(response.Body)
+	if err != nil {
+		return nil, d.failed(b, seen, sentAt, err)
+	}
+	if whole && promisesNotRun(response, start) {
+		d.counter("endpoint_refused")
+		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
+		return nil, errors.Wrapf(refusal.ErrNotRun, "endpoint %s refused", b.Endpoint.ID)
+	}
+	return d.answerOf(response, b, seen, sentAt, start, whole), nil
+}
+
+func (d *Dispatcher) answerOf(response *http.Response, b binding.Binding, seen report.Report, sentAt time.Time, start []byte, whole bool) *answer.Answer {
+	a := answer.Answer{
+		Status: response.StatusCode,
+		Header: response.Header,
+		Start:  start,
+		Length: response.ContentLength,
+	}
+	if whole {
+		a.Length = int64(len(start))
+		if response.Request != nil && response.Request.Method == http.MethodHead {
+			a.Length = response.ContentLength
+		}
+		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
+		return &a
+	}
+	a.Rest = response.Body
+	return a.WithRelease(func() { d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil)) })
+}
+
+// failed ends the binding of a broken attempt and tells how far the attempt came.
+func (d *Dispatcher) failed(b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
+	d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), err))
+	if errors.Is(err, exchanger.ErrNotSent) {
+		d.counter("attempt_not_sent")
+		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
+	}
+	d.counter("attempt_broken")
+	d.sender.LeaveSilent(b.Endpoint, sentAt)
+	return errors.Wrapf(refusal.ErrUnknown, "endpoint %s: %v", b.Endpoint.ID, err)
+}
+
+// readStart reads up to bufferSize bytes and reports whether that was the whole body.
+func readStart(body io.ReadCloser) (start []byte, whole bool, err error) {
+	start, err = io.ReadAll(io.LimitReader(body, bufferSize))
+	if err != nil {
+		_ = body.Close()
+		return nil, false, err
+	}
+	if len(start) < bufferSize {
+		return start, true, nil
+	}
+	return start, false, nil
+}
+
+// promise is the part of problem details (RFC 9457) by which an endpoint says that it did not run a request.
+type promise struct {
+	Outcome string `json:"outcome"`
+}
+
+func promisesNotRun(response *http.Response, body []byte) bool {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return false
+	}
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil || mediaType != "application/problem+json" {
+		return false
+	}
+	var p promise
+	return json.Unmarshal(body, &p) == nil && p.Outcome == refusal.OutcomeNotRun
+}
--- /dev/null
+++ b/poplarhook/services/locator/locator.go
@@ -0,0 +1,77 @@
+package locator
+
+import (
+	"sync/atomic"
+	"time"
+
+	"poplarhook.example/lib/class"
+	"poplarhook.example/lib/classifier"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/poplarhook/models/directory"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/planner"
+)
+
+// Locator holds the host list and the configuration in force, safe for concurrent use.
+type Locator struct {
+	planner    planner.Planner
+	directory  atomic.Pointer[directory.Directory]
+	snapshot   atomic.Pointer[snapshot.Snapshot]
+	classifier atomic.Pointer[classifier.Classifier]
+}
+
+// New returns a Locator for an entry host in the region, without hosts or configuration.
+func New(region string) *Locator {
+	l := &Locator{planner: planner.New(region)}
+	l.directory.Store(directory.New(0, nil))
+	return l
+}
+
+// SetDirectory replaces the host list.
+func (l *Locator) SetDirectory(d *directory.Directory) {
+	l.directory.Store(d)
+}
+
+// Directory returns the host list in force.
+func (l *Locator) Directory() *directory.Directory {
+	return l.directory.Load()
+}
+
+// SetSnapshot puts a configuration in force.
+func (l *Locator) SetSnapshot(s snapshot.Snapshot) {
+	l.classifier.Store(classifier.New(s))
+	l.snapshot.Store(&s)
+}
+
+// Snapshot returns the configuration in force and whether there is one.
+func (l *Locator) Snapshot() (snapshot.Snapshot, bool) {
+	s := l.snapshot.Load()
+	if s == nil {
+		return snapshot.Snapshot{}, false
+	}
+	return *s, true
+}
+
+// Classifier returns the classifier in force and whether there is one.
+func (l *Locator) Classifier() (*classifier.Classifier, bool) {
+	c := l.classifier.Load()
+	return c, c != nil
+}
+
+// Plan returns the groups that may serve the class, the preferred one first.
+func (l *Locator) Plan(c class.Class) []group.Group {
+	return l.planner.Plan(c, l.Directory().Regions())
+}
+
+// OpenEndpoints returns the endpoints of a group that are neither leaving nor in a zone taken out.
+func (l *Locator) OpenEndpoints(_ time.Time, g group.Group) []host.Host {
+	s, _ := l.Snapshot()
+	var open []host.Host
+	for _, h := range l.Directory().GetEndpointsByGroup(g) {
+		if !h.IsLeaving() && !s.IsZoneOut(h.AvailabilityZone) {
+			open = append(open, h)
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/poplarhook/services/refresher/doc.go
@@ -0,0 +1,2 @@
+// Package refresher follows the platform's host list.
+package refresher
--- /dev/null
+++ b/poplarhook/services/refresher/refresher.go
@@ -0,0 +1,111 @@
+package refresher
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/lister"
+	"poplarhook.example/poplarhook/models/directory"
+)
+
+// hostLister reads the host list, waiting until it is newer than a version.
+type hostLister interface {
+	List(ctx context.Context, after int64, wait time.Duration) (int64, []host.Host, error)
+}
+
+// Refresher hands every newer host list to its receiver.
+type Refresher struct {
+	hosts   hostLister
+	receive func(*directory.Directory)
+	logger  *zap.Logger
+	wait    time.Duration
+	pause   time.Duration
+}
+
+// Option changes how a Refresher is built.
+type Option func(*Refresher)
+
+// WithWait bounds the time that one call waits for a newer list.
+func WithWait(wait time.Duration) Option {
+	return func(r *Refresher) { r.wait = wait }
+}
+
+// WithLogger sets the log.
+func WithLogger(logger *zap.Logger) Option {
+	return func(r *Refresher) { r.logger = logger }
+}
+
+const (
+	defaultWait  = 20 * time.Second
+	defaultPause = 500 * time.Millisecond
+)
+
+// New returns a Refresher that hands lists to receive.
+func New(l hostLister, receive func(*directory.Directory), options ...Option) *Refresher {
+	r := &Refresher{
+		hosts:   l,
+		receive: receive,
+		logger:  zap.NewNop(),
+		wait:    defaultWait,
+		pause:   defaultPause,
+	}
+	for _, option := range options {
+		option(r)
+	}
+	return r
+}
+
+// Run follows the list until the context ends; the channel gives the end.
+func (r *Refresher) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		r.follow(ctx)
+		done <- nil
+	}()
+	return done
+}
+
+func (r *Refresher) follow(ctx context.Context) {
+	var version int64
+	failing := false
+	for ctx.Err() == nil {
+		next, hosts, err := r.hosts.List(ctx, version, r.wait)
+		if errors.Is(err, lister.ErrUnchanged) {
+			continue
+		}
+		if err == nil && next > version {
+			version = next
+			r.receive(directory.New(version, hosts))
+		}
+		failing = r.logChange(ctx, failing, err)
+		if err != nil {
+			sleep(ctx, r.pause)
+		}
+	}
+}
+
+// logChange logs when the list becomes unreachable or reachable and returns the new state.
+func (r *Refresher) logChange(ctx context.Context, failing bool, err error) bool {
+	if ctx.Err() != nil || failing == (err != nil) {
+		return failing
+	}
+	if err != nil {
+		r.logger.Warn("host list unreachable", zap.Error(err))
+		return true
+	}
+	r.logger.Info("host list reachable again")
+	return false
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/poplarhook/services/sender/doc.go
@@ -0,0 +1,2 @@
+// Package sender sends requests to endpoints and keeps the connections to each.
+package sender
