--- /dev/null
+++ b/standin/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the subcommands of standin.
+package cmd
--- /dev/null
+++ b/standin/storekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package storekeeper plays the platform's object store in memory, with its faults.
+package storekeeper
