Add the load generator

An experiment needs arrivals that no slow answer holds up, so poplarbench starts each request at the time that its seed fixes and counts its latency from there. It classifies what the caller saw and compares it with the endpoints' execution records: lost, doubled, falsely called not run, run outside the home regions.

Its HTTP library may send a GET again on a reused connection that broke; such resends are counted.

--- /dev/null
+++ b/poplarbench/accountant/doc.go
@@ -0,0 +1,2 @@
+// Package accountant compares what callers were told with what endpoints executed.
+package accountant
--- /dev/null
+++ b/poplarbench/aligner/aligner.go
@@ -0,0 +1,37 @@
+package aligner
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+const columnGap = 2
+
+// Aligner gathers rows whose cells end with a tab and writes them in aligned columns.
+type Aligner struct {
+	rows strings.Builder
+}
+
+// New returns an aligner without rows.
+func New() *Aligner {
+	return new(Aligner)
+}
+
+// Addf adds a row.
+func (a *Aligner) Addf(format string, arguments ...any) {
+	fmt.Fprintf(&a.rows, format+"\n", arguments...)
+}
+
+// WriteTo writes the rows, right-aligned, and returns the number of bytes before alignment.
+func (a *Aligner) WriteTo(out io.Writer) (int64, error) {
+	table := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', tabwriter.AlignRight)
+	count, err := io.WriteString(table, a.rows.String())
+	if err != nil {
+		return int64(count), errors.Wrap(err, "writing the table")
+	}
+	return int64(count), errors.Wrap(table.Flush(), "writing the table")
+}
--- /dev/null
+++ b/poplarbench/aligner/doc.go
@@ -0,0 +1,2 @@
+// Package aligner writes rows of text in aligned columns.
+package aligner
--- /dev/null
+++ b/poplarbench/cmd/doc.go
@@ -0,0 +1,2 @@
+// Package cmd holds the subcommands of poplarbench, one file each.
+package cmd
--- /dev/null
+++ b/poplarbench/cmd/root.go
@@ -0,0 +1,35 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+)
+
+// ErrUsage is returned for arguments that name no subcommand.
+var ErrUsage = errors.New("a subcommand is needed: run or compare")
+
+// Run parses the arguments, without the program's name, and runs their subcommand.
+func Run(ctx context.Context, args []string, out io.Writer, clock func() time.Time) error {
+	parser := flaggy.NewParser("poplarbench")
+	parser.Description = "open-loop load generator; latency counts from the intended time of sending"
+	parser.ShowVersionWithVersionFlag = false
+	run := newRunCommand()
+	compare := newCompareCommand()
+	parser.AttachSubcommand(run.subcommand, 1)
+	parser.AttachSubcommand(compare.subcommand, 1)
+	if err := parser.ParseArgs(args); err != nil {
+		return errors.Wrap(err, "reading the arguments")
+	}
+	switch {
+	case run.subcommand.Used:
+		return run.run(ctx, out, clock)
+	case compare.subcommand.Used:
+		return compare.run(out)
+	default:
+		return ErrUsage
+	}
+}
--- /dev/null
+++ b/poplarbench/collector/doc.go
@@ -0,0 +1,2 @@
+// Package collector fetches execution records and the regions of endpoints.
+package collector
--- /dev/null
+++ b/poplarbench/comparer/doc.go
@@ -0,0 +1,2 @@
+// Package comparer prints two results side by side.
+package comparer
--- a/poplarbench/doc.go
+++ b/poplarbench/doc.go
@@ -1,2 +1,2 @@
-// Command poplarbench is a program of poplarhook.
+// Command poplarbench offers open-loop load and accounts for every request.
 package main
--- /dev/null
+++ b/poplarbench/recorder/recorder.go
@@ -0,0 +1,101 @@
+package recorder
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"poplarhook.example/poplarbench/outcome"
+	"poplarhook.example/poplarbench/result"
+	"poplarhook.example/poplarbench/scenario"
+)
+
+const (
+	highestLatency   = 2 * time.Minute
+	precisionDigits  = 3
+	windowDigits     = 2
+	microsPerMilli   = 1000
+	lowestMicros     = 1
+	percentileMedian = 50
+	percentile90     = 90
+	percentile99     = 99
+	percentile999    = 99.9
+)
+
+// Recorder gathers the outcomes of a run; it is not safe for concurrent use.
+type Recorder struct {
+	scenario scenario.Scenario
+	total    *tally
+	entries  []*tally
+	windows  []*tally
+	failures []result.Failure
+	late     int64
+	resends  int64
+}
+
+// New returns an empty recorder of a scenario.
+func New(s scenario.Scenario) *Recorder {
+	recorder := &Recorder{scenario: s, total: newTally(precisionDigits)}
+	for range s.Mix {
+		recorder.entries = append(recorder.entries, newTally(precisionDigits))
+	}
+	return recorder
+}
+
+// Add records one outcome.
+func (r *Recorder) Add(o outcome.Outcome) {
+	r.total.add(o)
+	r.entries[o.Entry].add(o)
+	r.window(o.Intended).add(o)
+	r.resends += int64(o.Resends)
+	if o.IsLate {
+		r.late++
+	}
+	if o.Kind != outcome.Served {
+		r.addFailure(string(o.Kind), o.Detail)
+	}
+}
+
+// Result returns what was recorded, without label, targets and account.
+func (r *Recorder) Result() result.Result {
+	measured := result.Result{
+		Seed:          r.scenario.Seed,
+		RatePerS:      r.scenario.RatePerS,
+		DurationMS:    r.scenario.DurationMS,
+		Totals:        r.total.totals(),
+		LateSends:     r.late,
+		ClientResends: r.resends,
+		Failures:      slices.Clone(r.failures),
+	}
+	for i, entry := range r.scenario.Mix {
+		measured.Mix = append(measured.Mix, result.EntryTotals{Name: entry.Name, Totals: r.entries[i].totals()})
+	}
+	for i, window := range r.windows {
+		measured.Windows = append(measured.Windows, window.window(int64(i)))
+	}
+	return measured
+}
+
+func (r *Recorder) window(intended time.Duration) *tally {
+	second := int(intended / time.Second)
+	for len(r.windows) <= second {
+		r.windows = append(r.windows, newTally(windowDigits))
+	}
+	return r.windows[second]
+}
+
+func (r *Recorder) addFailure(kind, reason string) {
+	i, found := slices.BinarySearchFunc(r.failures, kind+" "+reason, func(f result.Failure, key string) int {
+		return strings.Compare(f.Kind+" "+f.Reason, key)
+	})
+	if !found {
+		r.failures = slices.Insert(r.failures, i, result.Failure{Kind: kind, Reason: reason})
+	}
+	r.failures[i].Count++
+}
+
+func newHistogram(digits int) *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicros, highestLatency.Microseconds(), digits)
+}
--- /dev/null
+++ b/poplarbench/reporter/doc.go
@@ -0,0 +1,2 @@
+// Package reporter writes the result of a run for programs and for people.
+package reporter
--- /dev/null
+++ b/poplarbench/runner/runner_test.go
@@ -0,0 +1,58 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/poplarbench/outcome"
+	"poplarhook.example/poplarbench/runner"
+	"poplarhook.example/poplarbench/scenario"
+	"poplarhook.example/poplarbench/scheduler"
+)
+
+// gate answers nothing until every request of the run has been sent.
+type gate struct {
+	want    int
+	arrived chan struct{}
+	open    chan struct{}
+}
+
+func (g *gate) Send(ctx context.Context, arrival scheduler.Arrival, _ time.Time) outcome.Outcome {
+	g.arrived <- struct{}{}
+	if len(g.arrived) == g.want {
+		close(g.open)
+	}
+	select {
+	case <-g.open:
+	case <-ctx.Done():
+	}
+	return outcome.Outcome{RequestID: arrival.RequestID, Kind: outcome.Served}
+}
+
+func schedule(c *qt.C, durationMS int64) *scheduler.Scheduler {
+	s, err := scheduler.New(scenario.Scenario{
+		DurationMS: durationMS, RatePerS: 1000, Arrivals: scenario.Constant, Mix: []scenario.Entry{{Weight: 1}},
+	}, 1, scheduler.RoundRobin)
+	c.Assert(err, qt.IsNil)
+	return s
+}
+
+// An answer that does not come holds up no later request.
+func TestRunIsOpenLoop(t *testing.T) {
+	c := qt.New(t)
+	sender := &gate{want: 49, arrived: make(chan struct{}, 100), open: make(chan struct{})}
+	outcomes := runner.New(schedule(c, 50), sender, time.Now).Run(t.Context())
+	c.Assert(outcomes, qt.HasLen, 49)
+}
+
+func TestRunEndsWithItsContext(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	sender := &gate{want: -1, arrived: make(chan struct{}, 100_000), open: make(chan struct{})}
+	outcomes := runner.New(schedule(c, 60_000), sender, time.Now).Run(ctx)
+	c.Assert(len(outcomes) < 1000, qt.IsTrue)
+}
