Lend the capacity of a group's endpoints as credits

Cause: entry hosts that decide alone cannot bound what an endpoint gets from all of them together.

Change: lender holds the owner's side of a group. Demands wait by urgency, then deadline; a free endpoint goes to the first of them that may use it. Each demanded right has a number, so a repeated demand gets the same answer again and a repeated credit can be told from a new one. Cold endpoints are lent one request at a time, with an end, and only while the owner's lease covers them. A lost borrower's credits count until a given time; a borrower on a new connection states what it holds.

--- /dev/null
+++ b/lib/credit/doc.go
@@ -0,0 +1,2 @@
+// Package credit holds the right to have requests in flight at an endpoint.
+package credit
--- /dev/null
+++ b/lib/lender/account.go
@@ -0,0 +1,40 @@
+package lender
+
+import (
+	"time"
+
+	"poplarhook.example/lib/credit"
+)
+
+// maxAnswers is how many answered rights of a borrower are remembered for repeated demands.
+const maxAnswers = 256
+
+// account is what the lender knows of one borrower.
+type account struct {
+	waiting int
+	held    int
+	// toldAt is when the borrower last heard that credits are scarce.
+	toldAt  time.Time
+	answers map[uint64]credit.Credit
+	order   []uint64
+	// floor is the highest right whose answer is no longer remembered.
+	floor uint64
+}
+
+// isForgotten reports whether the right was answered too long ago to be remembered.
+func (a *account) isForgotten(sequence uint64) bool {
+	_, remembered := a.answers[sequence]
+	return !remembered && sequence <= a.floor
+}
+
+func (a *account) remember(c credit.Credit) {
+	a.answers[c.Sequence] = c
+	a.order = append(a.order, c.Sequence)
+	if len(a.order) <= maxAnswers {
+		return
+	}
+	oldest := a.order[0]
+	a.order = a.order[1:]
+	delete(a.answers, oldest)
+	a.floor = max(a.floor, oldest)
+}
--- /dev/null
+++ b/lib/lender/choice.go
@@ -0,0 +1,173 @@
+package lender
+
+import (
+	"time"
+
+	"poplarhook.example/lib/credit"
+	"poplarhook.example/lib/demand"
+)
+
+// pair holds the best endpoint and the next, which serves where the best is excluded.
+type pair [2]*endpoint
+
+func (p *pair) add(e *endpoint) {
+	switch {
+	case p[0] == nil || isBetter(e, p[0]):
+		p[1] = p[0]
+		p[0] = e
+	case p[1] == nil || isBetter(e, p[1]):
+		p[1] = e
+	}
+}
+
+func (p *pair) pick(excluded string) *endpoint {
+	if p[0] != nil && p[0].id == excluded {
+		return p[1]
+	}
+	return p[0]
+}
+
+// isBetter prefers what is least lent for its limit, then what was granted longest ago.
+func isBetter(a, b *endpoint) bool {
+	left := a.total * b.limit
+	right := b.total * a.limit
+	if left != right {
+		return left < right
+	}
+	if a.lastGrant != b.lastGrant {
+		return a.lastGrant < b.lastGrant
+	}
+	return a.id < b.id
+}
+
+// choice holds the endpoints that may be granted next.
+type choice struct {
+	warm pair
+	// trickle holds cold endpoints that need a request to warm up.
+	trickle pair
+	// spare holds cold endpoints that can bear one more request.
+	spare pair
+	// hasWarm says that some warm endpoint is open, if only later.
+	hasWarm bool
+}
+
+func (c *choice) isEmpty() bool {
+	return c.warm[0] == nil && c.trickle[0] == nil && c.spare[0] == nil
+}
+
+// pick keeps urgent work off cold endpoints unless there are no warm ones.
+func (c *choice) pick(excluded string, urgency int) *endpoint {
+	urgent := urgency >= demand.UrgencyHigh && c.hasWarm
+	if !urgent {
+		if e := c.trickle.pick(excluded); e != nil {
+			return e
+		}
+	}
+	if e := c.warm.pick(excluded); e != nil {
+		return e
+	}
+	if urgent {
+		return nil
+	}
+	return c.spare.pick(excluded)
+}
+
+func (l *Lender) choose(now time.Time) choice {
+	var c choice
+	coldAllowed := now.Before(l.coldUntil)
+	for _, e := range l.ordered {
+		c.hasWarm = c.hasWarm || (e.open && !e.cold && e.limit > 0)
+		switch {
+		case !e.isFree():
+		case !e.cold:
+			c.warm.add(e)
+		case !coldAllowed:
+		case e.total == 0 && now.Sub(e.warmedAt) >= l.trickle:
+			c.trickle.add(e)
+		default:
+			c.spare.add(e)
+		}
+	}
+	return c
+}
+
+func (l *Lender) grant(now time.Time) []credit.Credit {
+	return l.finish(now, l.answer(now))
+}
+
+// answer answers waiting rights as long as endpoints are free.
+func (l *Lender) answer(now time.Time) []credit.Credit {
+	l.expire(now)
+	var credits []credit.Credit
+	for l.waiting.Len() > 0 {
+		c := l.choose(now)
+		if c.isEmpty() {
+			break
+		}
+		var chosen *endpoint
+		key, _, ok := l.waiting.Best(func(_ right, excluded string, urgency int) bool {
+			chosen = c.pick(excluded, urgency)
+			return chosen != nil
+		})
+		if !ok {
+			break
+		}
+		credits = append(credits, l.lend(now, key, chosen))
+	}
+	return credits
+}
+
+func (l *Lender) lend(now time.Time, key right, e *endpoint) credit.Credit {
+	l.grants++
+	e.lend(key.borrower)
+	e.lastGrant = l.grants
+	granted := credit.Credit{
+		Borrower: key.borrower,
+		Endpoint: e.id,
+		Count:    1,
+		Sequence: key.sequence,
+		Cold:     e.cold,
+	}
+	if e.cold {
+		e.warmedAt = now
+		granted.Until = earliest(l.waiting.Until(key), now.Add(l.coldValidity), l.coldUntil)
+	}
+	l.waiting.Remove(key)
+	a := l.account(key.borrower)
+	a.waiting--
+	a.held++
+	a.remember(granted)
+	return granted
+}
+
+// finish marks what is scarce and joins neighbouring rights of one endpoint.
+func (l *Lender) finish(now time.Time, credits []credit.Credit) []credit.Credit {
+	var joined []credit.Credit
+	for _, c := range credits {
+		a := l.account(c.Borrower)
+		c = c.WithScarce(l.isScarceFor(a))
+		if c.Scarce {
+			a.toldAt = now
+		}
+		if n := len(joined); n > 0 && isNext(joined[n-1], c) {
+			joined[n-1].Count++
+			continue
+		}
+		joined = append(joined, c)
+	}
+	return joined
+}
+
+func isNext(last, c credit.Credit) bool {
+	return last.Borrower == c.Borrower && last.Endpoint == c.Endpoint && !last.Cold && !c.Cold &&
+		c.Sequence == last.Sequence+uint64(last.Count)
+}
+
+func earliest(first time.Time, others ...time.Time) time.Time {
+	for _, t := range others {
+		if t.Before(first) {
+			first = t
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/lib/lender/endpoint.go
@@ -0,0 +1,143 @@
+package lender
+
+import (
+	"slices"
+	"time"
+
+	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/loan"
+)
+
+// endpoint is what the lender knows of one endpoint.
+type endpoint struct {
+	id    string
+	limit int
+	cold  bool
+	open  bool
+	// listed says that the capacities name the endpoint.
+	listed bool
+	// total is what all loans sum up to.
+	total     int
+	lastGrant uint64
+	warmedAt  time.Time
+	loans     map[string]*lent
+}
+
+// lent is what one borrower has of the endpoint.
+type lent struct {
+	held          int
+	orphaned      int
+	orphanedUntil time.Time
+}
+
+func (e *endpoint) setCapacity(c capacity.Capacity) {
+	e.limit = max(c.Limit, 0)
+	e.cold = c.Cold
+	e.open = c.Open
+	e.listed = c != capacity.Capacity{Endpoint: e.id}
+}
+
+func (e *endpoint) isFree() bool {
+	return e.open && e.total < e.limit
+}
+
+func (e *endpoint) isOverLent() bool {
+	return e.total > 0 && (!e.open || e.total > e.limit)
+}
+
+func (e *endpoint) isUseless() bool {
+	return !e.listed && e.total == 0
+}
+
+func (e *endpoint) loan(borrower string) *lent {
+	n, ok := e.loans[borrower]
+	if !ok {
+		n = &lent{}
+		e.loans[borrower] = n
+	}
+	return n
+}
+
+func (e *endpoint) lend(borrower string) {
+	e.loan(borrower).held++
+	e.total++
+}
+
+// release returns how many held credits came back; what exceeds the loans is ignored.
+func (e *endpoint) release(borrower string, count int) int {
+	n, ok := e.loans[borrower]
+	if !ok {
+		return 0
+	}
+	held := min(max(count, 0), n.held)
+	orphaned := min(max(count, 0)-held, n.orphaned)
+	n.held -= held
+	n.orphaned -= orphaned
+	e.total -= held + orphaned
+	e.drop(borrower, n)
+	return held
+}
+
+// hold returns by how much the held credits of the borrower grow.
+func (e *endpoint) hold(borrower string, count int) int {
+	n := e.loan(borrower)
+	grown := count - n.held
+	e.total += grown - n.orphaned
+	n.held = count
+	n.orphaned = 0
+	e.drop(borrower, n)
+	return grown
+}
+
+func (e *endpoint) orphan(borrower string, until time.Time) {
+	n, ok := e.loans[borrower]
+	if !ok || n.held == 0 {
+		return
+	}
+	n.orphaned += n.held
+	n.held = 0
+	if until.After(n.orphanedUntil) {
+		n.orphanedUntil = until
+	}
+}
+
+func (e *endpoint) freeOrphans(now time.Time) {
+	for borrower, n := range e.loans {
+		if n.orphaned > 0 && !now.Before(n.orphanedUntil) {
+			e.total -= n.orphaned
+			n.orphaned = 0
+			e.drop(borrower, n)
+		}
+	}
+}
+
+func (e *endpoint) drop(borrower string, n *lent) {
+	if n.held == 0 && n.orphaned == 0 {
+		delete(e.loans, borrower)
+	}
+}
+
+func (e *endpoint) rows() []loan.Loan {
+	base := loan.Loan{Endpoint: e.id, Limit: e.limit, Cold: e.cold, Open: e.open}
+	if len(e.loans) == 0 {
+		return []loan.Loan{base}
+	}
+	borrowers := make([]string, 0, len(e.loans))
+	for borrower := range e.loans {
+		borrowers = append(borrowers, borrower)
+	}
+	slices.Sort(borrowers)
+	rows := make([]loan.Loan, 0, len(borrowers))
+	for _, borrower := range borrowers {
+		n := e.loans[borrower]
+		row := base
+		row.Borrower = borrower
+		row.Count = n.held
+		if n.orphaned > 0 {
+			row.Orphaned = n.orphaned
+			row.OrphanedUntil = n.orphanedUntil
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
--- /dev/null
+++ b/lib/lender/lender.go
@@ -0,0 +1,240 @@
+package lender
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/credit"
+	"poplarhook.example/lib/demand"
+	"poplarhook.example/lib/loan"
+	"poplarhook.example/lib/waitlist"
+)
+
+// maxCount is the most rights that one demand may ask for.
+const maxCount = 1024
+
+// excessIntervals is how many recall intervals pass between recalls of an endpoint that bears less than before.
+const excessIntervals = 10
+
+// Lender lends the capacity of a group's endpoints to borrowers, as credits.
+//
+// What is lent of an endpoint never exceeds its limit by a grant. A Lender is
+// not safe for concurrent use.
+type Lender struct {
+	coldValidity   time.Duration
+	trickle        time.Duration
+	recallInterval time.Duration
+
+	coldUntil time.Time
+	endpoints map[string]*endpoint
+	// ordered holds the endpoints by id, so that one trace has one outcome.
+	ordered  []*endpoint
+	accounts map[string]*account
+	waiting  *waitlist.Waitlist[right, string]
+	grants   uint64
+	// excess says that more is lent of some endpoint than it may bear now.
+	excess bool
+}
+
+// right is one demanded right; the waitlist keeps the endpoint it excludes as its value.
+type right struct {
+	borrower string
+	sequence uint64
+}
+
+// New returns a Lender that knows no endpoints and may not lend cold ones.
+func New(options ...Option) *Lender {
+	l := &Lender{
+		coldValidity:   defaultColdValidity,
+		trickle:        defaultTrickle,
+		recallInterval: defaultRecallInterval,
+		endpoints:      make(map[string]*endpoint),
+		accounts:       make(map[string]*account),
+		waiting:        waitlist.New[right, string](),
+	}
+	for _, option := range options {
+		option(l)
+	}
+	return l
+}
+
+// SetCapacities replaces what the endpoints may bear; one that is missing is closed.
+func (l *Lender) SetCapacities(now time.Time, capacities []capacity.Capacity) []credit.Credit {
+	for _, e := range l.ordered {
+		e.setCapacity(capacity.Capacity{Endpoint: e.id})
+	}
+	for _, c := range capacities {
+		l.endpoint(c.Endpoint).setCapacity(c)
+	}
+	l.sweep(now)
+	return l.grant(now)
+}
+
+// AllowCold permits grants of cold endpoints until the given time, as the owner's lease covers.
+func (l *Lender) AllowCold(until time.Time) {
+	l.coldUntil = until
+}
+
+// Demand queues the rights that a borrower asks for; a right that was answered already gets the same answer again.
+func (l *Lender) Demand(now time.Time, d demand.Demand) []credit.Credit {
+	if d.IsExpired(now) {
+		return l.grant(now)
+	}
+	a := l.account(d.Borrower)
+	var repeated []credit.Credit
+	for i := range uint64(min(max(d.Count, 0), maxCount)) {
+		key := right{d.Borrower, d.Sequence + i}
+		if l.waiting.Has(key) || a.isForgotten(key.sequence) {
+			continue
+		}
+		if answer, ok := a.answers[key.sequence]; ok {
+			repeated = append(repeated, answer)
+			continue
+		}
+		l.waiting.Push(key, d.Excluded, d.Urgency, d.Until)
+		a.waiting++
+	}
+	return l.finish(now, append(repeated, l.answer(now)...))
+}
+
+// Release takes back credits that a borrower has finished with or does not use.
+func (l *Lender) Release(now time.Time, borrower, endpoint string, count int) []credit.Credit {
+	if e, ok := l.endpoints[endpoint]; ok {
+		l.account(borrower).held -= e.release(borrower, count)
+	}
+	return l.grant(now)
+}
+
+// Hold sets what a borrower has of an endpoint, in place of what was known of it.
+//
+// A borrower says so on each new connection, before its first demand there.
+func (l *Lender) Hold(now time.Time, borrower, endpoint string, count int) []credit.Credit {
+	l.account(borrower).held += l.endpoint(endpoint).hold(borrower, max(count, 0))
+	return l.grant(now)
+}
+
+// Forget drops the demands of a lost borrower; its credits count as in flight until the given time or a Hold.
+func (l *Lender) Forget(now time.Time, borrower string, until time.Time) []credit.Credit {
+	delete(l.accounts, borrower)
+	for _, key := range l.waiting.All() {
+		if key.borrower == borrower {
+			l.waiting.Remove(key)
+		}
+	}
+	for _, e := range l.ordered {
+		e.orphan(borrower, until)
+	}
+	l.sweep(now)
+	return l.grant(now)
+}
+
+// Tick drops what has expired and grants what has become free by the passing of time.
+func (l *Lender) Tick(now time.Time) []credit.Credit {
+	l.sweep(now)
+	return l.grant(now)
+}
+
+// Recalls returns the borrowers to ask for their idle credits, each at most once per recall interval.
+//
+// They hold credits while others wait or, less often, hold more than an endpoint may bear now.
+func (l *Lender) Recalls(now time.Time) []string {
+	l.expire(now)
+	var borrowers []string
+	if l.waiting.Len() > 0 {
+		borrowers = l.scarceHolders(now)
+	}
+	if l.excess {
+		borrowers = append(borrowers, l.excessHolders(now)...)
+	}
+	slices.Sort(borrowers)
+	return slices.Compact(borrowers)
+}
+
+func (l *Lender) scarceHolders(now time.Time) []string {
+	var borrowers []string
+	for id, a := range l.accounts {
+		if a.held > 0 && l.isScarceFor(a) && now.Sub(a.toldAt) >= l.recallInterval {
+			a.toldAt = now
+			borrowers = append(borrowers, id)
+		}
+	}
+	return borrowers
+}
+
+func (l *Lender) excessHolders(now time.Time) []string {
+	var borrowers []string
+	for _, e := range l.ordered {
+		if !e.isOverLent() {
+			continue
+		}
+		for id, n := range e.loans {
+			a := l.account(id)
+			if n.held > 0 && now.Sub(a.toldAt) >= l.recallInterval*excessIntervals {
+				a.toldAt = now
+				borrowers = append(borrowers, id)
+			}
+		}
+	}
+	return borrowers
+}
+
+// Waiting returns how many demanded rights wait.
+func (l *Lender) Waiting() int {
+	return l.waiting.Len()
+}
+
+// Snapshot returns what is lent, by endpoint and borrower.
+func (l *Lender) Snapshot() []loan.Loan {
+	rows := make([]loan.Loan, 0, len(l.ordered))
+	for _, e := range l.ordered {
+		rows = append(rows, e.rows()...)
+	}
+	return rows
+}
+
+func (l *Lender) isScarceFor(a *account) bool {
+	return l.waiting.Len() > a.waiting
+}
+
+func (l *Lender) endpoint(id string) *endpoint {
+	e, ok := l.endpoints[id]
+	if ok {
+		return e
+	}
+	e = &endpoint{id: id, loans: make(map[string]*lent)}
+	l.endpoints[id] = e
+	at, _ := slices.BinarySearchFunc(l.ordered, id, func(e *endpoint, id string) int { return cmp.Compare(e.id, id) })
+	l.ordered = slices.Insert(l.ordered, at, e)
+	return e
+}
+
+func (l *Lender) account(borrower string) *account {
+	a, ok := l.accounts[borrower]
+	if !ok {
+		a = &account{answers: make(map[uint64]credit.Credit)}
+		l.accounts[borrower] = a
+	}
+	return a
+}
+
+// sweep frees the orphaned credits whose time is over and drops endpoints of no further use.
+func (l *Lender) sweep(now time.Time) {
+	l.excess = false
+	l.ordered = slices.DeleteFunc(l.ordered, func(e *endpoint) bool {
+		e.freeOrphans(now)
+		if e.isUseless() {
+			delete(l.endpoints, e.id)
+			return true
+		}
+		l.excess = l.excess || e.isOverLent()
+		return false
+	})
+}
+
+func (l *Lender) expire(now time.Time) {
+	for _, key := range l.waiting.Expire(now) {
+		l.account(key.borrower).waiting--
+	}
+}
--- /dev/null
+++ b/lib/lender/options.go
@@ -0,0 +1,27 @@
+package lender
+
+import "time"
+
+const (
+	defaultColdValidity   = time.Second
+	defaultTrickle        = 50 * time.Millisecond
+	defaultRecallInterval = 100 * time.Millisecond
+)
+
+// Option changes a setting of a Lender.
+type Option func(*Lender)
+
+// WithColdValidity bounds how long after its grant a cold credit may be used.
+func WithColdValidity(d time.Duration) Option {
+	return func(l *Lender) { l.coldValidity = d }
+}
+
+// WithTrickle sets the least time between two requests that go to a cold endpoint only to warm it up.
+func WithTrickle(d time.Duration) Option {
+	return func(l *Lender) { l.trickle = d }
+}
+
+// WithRecallInterval sets the least time between two recalls from one borrower.
+func WithRecallInterval(d time.Duration) Option {
+	return func(l *Lender) { l.recallInterval = d }
+}
--- /dev/null
+++ b/lib/lender/replay_test.go
@@ -0,0 +1,113 @@
+package lender_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/credit"
+	"poplarhook.example/lib/demand"
+	"poplarhook.example/lib/lender"
+)
+
+// event is one line of a trace: what happens and the stated outcome.
+type event struct {
+	AtUS       int64               `json:"at_us"`
+	Kind       string              `json:"kind"`
+	Capacities []capacity.Capacity `json:"capacities"`
+	Borrower   string              `json:"borrower"`
+	Endpoint   string              `json:"endpoint"`
+	Sequence   uint64              `json:"sequence"`
+	Count      int                 `json:"count"`
+	Urgency    int                 `json:"urgency"`
+	Excluded   string              `json:"excluded"`
+	UntilUS    int64               `json:"until_us"`
+	Grants     []grant             `json:"grants"`
+	Recalls    []string            `json:"recalls"`
+}
+
+type grant struct {
+	Borrower string `json:"borrower"`
+	Endpoint string `json:"endpoint"`
+	Count    int    `json:"count"`
+	Sequence uint64 `json:"sequence"`
+	UntilUS  int64  `json:"until_us"`
+	Cold     bool   `json:"cold"`
+	Scarce   bool   `json:"scarce"`
+}
+
+func at(us int64) time.Time { return time.UnixMicro(us).UTC() }
+
+func grantOf(c credit.Credit) grant {
+	g := grant{
+		Borrower: c.Borrower, Endpoint: c.Endpoint, Count: c.Count, Sequence: c.Sequence,
+		Cold: c.Cold, Scarce: c.Scarce,
+	}
+	if !c.Until.IsZero() {
+		g.UntilUS = c.Until.UnixMicro()
+	}
+	return g
+}
+
+func apply(l *lender.Lender, e event) []credit.Credit {
+	now := at(e.AtUS)
+	switch e.Kind {
+	case "capacities":
+		return l.SetCapacities(now, e.Capacities)
+	case "demand":
+		return l.Demand(now, demand.Demand{
+			Borrower: e.Borrower, Sequence: e.Sequence, Count: e.Count, Until: at(e.UntilUS),
+			Excluded: e.Excluded, Urgency: e.Urgency,
+		})
+	case "release":
+		return l.Release(now, e.Borrower, e.Endpoint, e.Count)
+	case "hold":
+		return l.Hold(now, e.Borrower, e.Endpoint, e.Count)
+	case "forget":
+		return l.Forget(now, e.Borrower, at(e.UntilUS))
+	case "allow_cold":
+		l.AllowCold(at(e.UntilUS))
+		return nil
+	case "tick":
+		return l.Tick(now)
+	}
+	panic("unknown kind " + e.Kind)
+}
+
+func TestReplay(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.jsonl")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(paths) > 0, qt.IsTrue)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) { replay(t, path) })
+	}
+}
+
+func replay(t *testing.T, path string) {
+	c := qt.New(t)
+	file, err := os.Open(path)
+	c.Assert(err, qt.IsNil)
+	defer file.Close()
+	l := lender.New()
+	lines := bufio.NewScanner(file)
+	for n := 1; lines.Scan(); n++ {
+		var e event
+		c.Assert(json.Unmarshal(lines.Bytes(), &e), qt.IsNil, qt.Commentf("line %d", n))
+		if e.Kind == "recalls" {
+			c.Assert(l.Recalls(at(e.AtUS)), qt.DeepEquals, e.Recalls, qt.Commentf("line %d", n))
+			continue
+		}
+		var grants []grant
+		for _, granted := range apply(l, e) {
+			grants = append(grants, grantOf(granted))
+		}
+		c.Assert(grants, qt.DeepEquals, e.Grants, qt.Commentf("line %d: %s", n, lines.Text()))
+	}
+	c.Assert(lines.Err(), qt.IsNil)
+}
--- /dev/null
+++ b/lib/waitlist/waitlist.go
@@ -0,0 +1,104 @@
+package waitlist
+
+import (
+	"container/heap"
+	"time"
+)
+
+// levels is the number of urgencies; higher and lower ones count as the nearest.
+const levels = 3
+
+// Waitlist orders values by urgency, then earliest deadline, then arrival.
+type Waitlist[K comparable, V any] struct {
+	queues   [levels]queue[K, V]
+	items    map[K]*item[K, V]
+	arrivals uint64
+}
+
+// New returns an empty Waitlist.
+func New[K comparable, V any]() *Waitlist[K, V] {
+	return &Waitlist[K, V]{items: make(map[K]*item[K, V])}
+}
+
+// Len returns how many values wait.
+func (w *Waitlist[K, V]) Len() int {
+	return len(w.items)
+}
+
+// LenAt returns how many values of one urgency wait.
+func (w *Waitlist[K, V]) LenAt(urgency int) int {
+	return len(w.queues[level(urgency)])
+}
+
+// Has reports whether the key waits.
+func (w *Waitlist[K, V]) Has(key K) bool {
+	_, ok := w.items[key]
+	return ok
+}
+
+// Push adds a value; it replaces one that waits under the same key.
+func (w *Waitlist[K, V]) Push(key K, value V, urgency int, until time.Time) {
+	w.Remove(key)
+	w.arrivals++
+	it := &item[K, V]{key: key, value: value, level: level(urgency), until: until, arrival: w.arrivals}
+	w.items[key] = it
+	heap.Push(&w.queues[it.level], it)
+}
+
+// Remove takes a key out and reports whether it waited.
+func (w *Waitlist[K, V]) Remove(key K) bool {
+	it, ok := w.items[key]
+	if !ok {
+		return false
+	}
+	delete(w.items, key)
+	heap.Remove(&w.queues[it.level], it.index)
+	return true
+}
+
+// Best returns the first key and value in order that accept takes, without removing them.
+func (w *Waitlist[K, V]) Best(accept func(key K, value V, urgency int) bool) (K, V, bool) {
+	for i := levels - 1; i >= 0; i-- {
+		if it := w.queues[i].best(accept); it != nil {
+			return it.key, it.value, true
+		}
+	}
+	var key K
+	var value V
+	return key, value, false
+}
+
+// Expire removes the keys whose deadline has come and returns them in order.
+func (w *Waitlist[K, V]) Expire(now time.Time) []K {
+	var expired []K
+	for i := levels - 1; i >= 0; i-- {
+		for len(w.queues[i]) > 0 && !now.Before(w.queues[i][0].until) {
+			key := w.queues[i][0].key
+			w.Remove(key)
+			expired = append(expired, key)
+		}
+	}
+	return expired
+}
+
+// All returns the keys in order.
+func (w *Waitlist[K, V]) All() []K {
+	keys := make([]K, 0, len(w.items))
+	w.Best(func(key K, _ V, _ int) bool {
+		keys = append(keys, key)
+		return false
+	})
+	return keys
+}
+
+// Until returns the deadline of a key, zero if it does not wait.
+func (w *Waitlist[K, V]) Until(key K) time.Time {
+	if it, ok := w.items[key]; ok {
+		return it.until
+	}
+	return time.Time{}
+}
+
+func level(urgency int) int {
+	return min(max(urgency, 0), levels-1)
+}
--- /dev/null
+++ b/lib/waitlist/waitlist_test.go
@@ -0,0 +1,31 @@
+package waitlist_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/waitlist"
+)
+
+func TestOrder(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(0, 0)
+	w := waitlist.New[string, int]()
+	w.Push("low", 0, 0, start.Add(time.Second))
+	w.Push("late", 0, 1, start.Add(3*time.Second))
+	w.Push("early", 0, 1, start.Add(2*time.Second))
+	w.Push("early too", 0, 1, start.Add(2*time.Second))
+	w.Push("high", 0, 9, start.Add(9*time.Second))
+	c.Assert(w.All(), qt.DeepEquals, []string{"high", "early", "early too", "late", "low"})
+	c.Assert(w.LenAt(1), qt.Equals, 3)
+
+	key, _, ok := w.Best(func(key string, _ int, _ int) bool { return key == "late" })
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(key, qt.Equals, "late")
+	c.Assert(w.Remove("early"), qt.IsTrue)
+	c.Assert(w.Remove("early"), qt.IsFalse)
+	c.Assert(w.Expire(start.Add(2*time.Second)), qt.DeepEquals, []string{"early too", "low"})
+	c.Assert(w.All(), qt.DeepEquals, []string{"high", "late"})
+}
