--- a/poplarhook/cmd/run.go
+++ b/poplarhook/cmd/run.go
@@ -44,7 +44,7 @@
 	}
 	defer func() { _ = logger.Sync() }()
 	m := meter.New("poplarhook")
-	defer m.Close()
+	defer func() { _ = m.Close() }()
 
 	places := locator.New(s.Region)
 	hosts := refresher.New(lister.New(s.HostListURL), places.SetDirectory, refresher.WithWait(s.WatchWait), refresher.WithLogger(logger))
@@ -55,13 +55,13 @@
 	dispatch := dispatcher.New(bind, send, places, dispatcher.WithCounter(m.Count))
 	handler := caller.New(places.Classifier, dispatch, caller.WithMaxBody(s.MaxBody), caller.WithCounter(m.CountRequest))
 
-	callers, err := net.Listen("tcp", s.Listen)
+	callers, err := listenOn(ctx, "listen", s.Listen)
 	if err != nil {
-		return errors.Wrapf(err, "listen %s", s.Listen)
+		return err
 	}
-	admin, err := net.Listen("tcp", s.AdminListen)
+	admin, err := listenOn(ctx, "admin-listen", s.AdminListen)
 	if err != nil {
-		return errors.Wrapf(err, "admin-listen %s", s.AdminListen)
+		return err
 	}
 	callersDone := server.New(handler, server.WithMaxHeader(s.MaxHeader), server.WithReadTimeout(s.ReadTimeout), server.WithIdleTimeout(s.IdleTimeout), server.WithDrainLimit(s.DrainLimit)).Run(ctx, callers)
 	router := mux.NewRouter()
@@ -133,3 +133,9 @@
 	}
 	places.SetSnapshot(s)
 }
+
+func listenOn(ctx context.Context, setting, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, errors.Wrapf(err, "%s %s", setting, address)
+}
--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 	dialTimeout time.Duration
 	maxIdle     int
 	maxOpen     int
+	lost        func(address string)
 
 	mu     sync.Mutex
 	idle   []*link
@@ -63,6 +65,11 @@
 	return func(e *Exchanger) { e.maxIdle = n }
 }
 
+// WithLostHook sets what is called when an idle connection is closed by the endpoint.
+func WithLostHook(lost func(address string)) Option {
+	return func(e *Exchanger) { e.lost = lost }
+}
+
 // Counts holds what an Exchanger has done since its start.
 type Counts struct {
 	Dialed   uint64 `json:"dialed"`
@@ -84,6 +91,7 @@
 		dialTimeout: defaultDialTimeout,
 		maxIdle:     defaultMaxIdle,
 		maxOpen:     defaultMaxOpen,
+		lost:        func(string) {},
 	}
 	for _, option := range options {
 		option(e)
@@ -94,8 +102,9 @@
 // Exchange sends the request once and returns the endpoint's answer.
 //
 // A kept connection is used only if the endpoint answered on it within proofAge.
-// The error is ErrNotSent or ErrBroken. The caller closes the answer's body.
-func (e *Exchanger) Exchange(ctx context.Context, request *http.Request, proofAge time.Duration) (*http.Response, error) {
+// Nothing is sent from sendBy on, unless that is zero. The error is ErrNotSent
+// or ErrBroken. The caller closes the answer's body.
+func (e *Exchanger) Exchange(ctx context.Context, request *http.Request, proofAge time.Duration, sendBy time.Time) (*http.Response, error) {
 	var message bytes.Buffer
 	if err := request.Write(&message); err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "encode request for %s: %v", e.address, err)
@@ -104,6 +113,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !sendBy.IsZero() && !e.clock().Before(sendBy) {
+		e.keep(l) //nolint:contextcheck // the watch over an idle connection outlives the request
+		return nil, errors.Wrapf(ErrNotSent, "the right to send to %s ended at %s", e.address, sendBy)
+	}
 	stop := l.interruptOn(ctx)
 	if err := l.send(message.Bytes()); err != nil {
 		stop()
@@ -142,6 +155,7 @@
 	e.counts.Left += uint64(len(left))
 	e.mu.Unlock()
 	for _, l := range left {
+		_ = l.unwatch()
 		l.conn.Close()
 	}
 }
@@ -189,7 +203,7 @@
 		if l == nil {
 			return nil
 		}
-		if l.quiet() {
+		if l.unwatch() == nil {
 			return l
 		}
 		e.discard(l)
@@ -244,6 +258,34 @@
 	e.counts.Broken++
 }
 
+// Proved reports whether an idle connection is open that no close has been seen on.
+func (e *Exchanger) Proved() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.idle) > 0
+}
+
+// forget drops an idle connection that the endpoint closed.
+func (e *Exchanger) forget(l *link) {
+	if e.removeIdle(l) {
+		l.conn.Close()
+		e.lost(e.address)
+	}
+}
+
+func (e *Exchanger) removeIdle(l *link) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i := slices.Index(e.idle, l)
+	if i < 0 {
+		return false
+	}
+	e.idle = slices.Delete(e.idle, i, i+1)
+	e.open--
+	e.counts.Left++
+	return true
+}
+
 // keep makes a connection idle, or closes it when enough are kept.
 func (e *Exchanger) keep(l *link) {
 	l.proved = e.clock()
@@ -255,6 +297,7 @@
 		return
 	}
 	e.idle = append(e.idle, l)
+	l.watch(e.forget)
 }
 
 // isUnframed reports whether only the connection's end would end the body, so that a cut looks whole.
--- a/poplarhook/modules/exchanger/link.go
+++ b/poplarhook/modules/exchanger/link.go
@@ -5,12 +5,15 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
+// errUnasked says that bytes arrived on a connection without a request.
+var errUnasked = errors.New("endpoint spoke unasked")
+
 // longAgo is a deadline that interrupts every read and write at once.
 var longAgo = time.Unix(1, 0)
 
@@ -19,6 +22,9 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	proved time.Time
+	// stopWatch and watched belong to the watch over an idle connection.
+	stopWatch context.CancelFunc
+	watched   chan error
 }
 
 func newLink(conn net.Conn, now time.Time) *link {
@@ -58,25 +64,36 @@
 	}
 }
 
-// quiet reports whether the idle connection is open with nothing to read.
-func (l *link) quiet() bool {
-	if l.reader.Buffered() > 0 {
-		return false
+// watch notices when the endpoint closes the idle connection, or speaks unasked, and then calls lost.
+func (l *link) watch(lost func(*link)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stopWatch = cancel
+	l.watched = make(chan error, 1)
+	go func() { l.watched <- l.await(ctx, lost) }()
+}
+
+// await returns nil when the watch is stopped before anything arrives.
+func (l *link) await(ctx context.Context, lost func(*link)) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.SetReadDeadline(longAgo) })
+	defer stop()
+	_, err := l.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil {
+		return nil
 	}
-	syscallConn, ok := l.conn.(syscall.Conn)
-	if !ok {
-		return true
+	if err == nil {
+		err = errUnasked
+	}
+	if ctx.Err() == nil {
+		lost(l)
 	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
+	return err
+}
+
+// unwatch ends the watch; its error says that the connection must not be used.
+func (l *link) unwatch() error {
+	l.stopWatch()
+	if err := <-l.watched; err != nil {
+		return err
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(recvErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
+	return l.conn.SetReadDeadline(time.Time{})
 }
--- a/poplarhook/modules/server/server.go
+++ b/poplarhook/modules/server/server.go
@@ -81,6 +81,8 @@
 		_ = s.http.Close()
 		return errors.Wrap(err, "requests were still running at the end of the drain limit")
 	}
-	<-served
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
 	return nil
 }
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -28,7 +28,7 @@
 		d.binder.Finish(b, report.Report{Err: exchanger.ErrNotSent})
 		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
 	}
-	response, err := d.sender.Send(ctx, b.Endpoint, j)
+	response, err := d.sender.Send(ctx, b, j) //nolint:bodyclose // readStart or the answer's release closes it
 	if err != nil {
 		return nil, d.failed(b, report.Report{}, sentAt, err)
 	}
--- a/poplarhook/services/dispatcher/dispatcher.go
+++ b/poplarhook/services/dispatcher/dispatcher.go
@@ -26,7 +26,7 @@
 
 // sender sends one request to one endpoint, once.
 type sender interface {
-	Send(ctx context.Context, endpoint host.Host, j job.Job) (*http.Response, error)
+	Send(ctx context.Context, b binding.Binding, j job.Job) (*http.Response, error)
 	LeaveSilent(endpoint host.Host, provedBefore time.Time)
 }
 
--- a/poplarhook/services/sender/sender.go
+++ b/poplarhook/services/sender/sender.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poplarhook.example/lib/host"
+	"poplarhook.example/poplarhook/models/binding"
 	"poplarhook.example/poplarhook/models/job"
 	"poplarhook.example/poplarhook/modules/exchanger"
 )
@@ -28,6 +29,7 @@
 	proofAge time.Duration
 	reuseAge time.Duration
 	share    func() int
+	lost     func(address string)
 
 	mu         sync.RWMutex
 	exchangers map[string]*exchanger.Exchanger
@@ -51,6 +53,11 @@
 	return func(s *Sender) { s.share = entries }
 }
 
+// WithLostHook sets what is called with an endpoint's address when it closes an idle connection.
+func WithLostHook(lost func(address string)) Option {
+	return func(s *Sender) { s.lost = lost }
+}
+
 const (
 	defaultProofAge    = 250 * time.Millisecond
 	defaultReuseAge    = 10 * time.Second
@@ -65,6 +72,7 @@
 		proofAge:   defaultProofAge,
 		reuseAge:   defaultReuseAge,
 		share:      func() int { return 1 },
+		lost:       func(string) {},
 		exchangers: make(map[string]*exchanger.Exchanger),
 	}
 	for _, option := range options {
@@ -74,12 +82,14 @@
 }
 
 // Send sends the job once to the endpoint; errors are those of the exchanger.
-func (s *Sender) Send(ctx context.Context, endpoint host.Host, j job.Job) (*http.Response, error) {
+//
+// Nothing is sent from the binding's SendBy on.
+func (s *Sender) Send(ctx context.Context, b binding.Binding, j job.Job) (*http.Response, error) {
 	age := s.reuseAge
 	if j.Class.IsOnceOnly() {
 		age = s.proofAge
 	}
-	return s.exchangerFor(endpoint).Exchange(ctx, s.encode(endpoint, j), age)
+	return s.exchangerFor(b.Endpoint).Exchange(ctx, s.encode(b.Endpoint, j), age, b.SendBy)
 }
 
 // LeaveSilent gives up the idle connections to the endpoint that were last proved before the given time.
@@ -87,6 +97,11 @@
 	s.exchangerFor(endpoint).LeaveIdle(provedBefore)
 }
 
+// Proved reports whether a connection to the endpoint is open on which no close has been seen.
+func (s *Sender) Proved(endpoint host.Host) bool {
+	return s.exchangerFor(endpoint).Proved()
+}
+
 // Retain closes the connections to every endpoint whose address is not among those given.
 func (s *Sender) Retain(endpoints []host.Host) {
 	kept := make(map[string]bool, len(endpoints))
@@ -133,7 +148,7 @@
 	if e := s.exchangers[endpoint.Address]; e != nil {
 		return e
 	}
-	e = exchanger.New(endpoint.Address, exchanger.WithClock(s.clock), exchanger.WithMaxOpen(s.limit(endpoint)))
+	e = exchanger.New(endpoint.Address, exchanger.WithClock(s.clock), exchanger.WithMaxOpen(s.limit(endpoint)), exchanger.WithLostHook(s.lost))
 	s.exchangers[endpoint.Address] = e
 	return e
 }
