Link the entry hosts by yamux with bounded queues

Cause: entry hosts had the wire messages but no way to exchange them.

Change: modules/linker keeps at most one link to each other entry host. Both ends greet first; neighbouring protocol versions are accepted, others refused and counted. A link sends an empty frame when it has sent nothing for 500 ms and is closed and dialed anew when nothing arrived for 1.3 s. Of two links dialed at once both ends keep that of the lower host id. Frames wait in a bounded queue that drops the oldest replaceable ones first; one write takes all that wait. A yamux header leaves in one write with its body, which spares a system call and a TLS record for each frame.

Seen failing first: with the silence limit at 13 s the tests of a silent peer and of a link cut without a reset fail ("not within 1.5s").

Conclusion: found within 1.5 s, replaced after it.

--- /dev/null
+++ b/poplarhook/modules/linker/dialer.go
@@ -0,0 +1,87 @@
+package linker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"poplarhook.example/lib/host"
+)
+
+const (
+	dialTimeout = time.Second
+	// firstDialDelay lets the host with the lower id dial first, which spares most double dials.
+	firstDialDelay = 150 * time.Millisecond
+	minBackoff     = 50 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+)
+
+// dialer opens a link to one wanted peer whenever there is none.
+type dialer struct {
+	peer   host.Host
+	cancel context.CancelFunc
+	lost   chan struct{}
+}
+
+func (l *Linker) runDialer(ctx context.Context, d *dialer) {
+	first := time.Duration(0)
+	if l.self.GetHostId() > d.peer.ID {
+		first = firstDialDelay
+	}
+	wait := first
+	backoff := minBackoff
+	for sleep(ctx, wait) {
+		if l.isConnected(d.peer.ID) {
+			backoff = minBackoff
+			wait = first
+			if !d.awaitLoss(ctx) {
+				return
+			}
+			continue
+		}
+		before := l.clock()
+		l.dial(ctx, d.peer)
+		if l.clock().Sub(before) > maxBackoff {
+			backoff = minBackoff
+		}
+		wait = jitter(backoff)
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// awaitLoss returns false when the context ended first.
+func (d *dialer) awaitLoss(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.lost:
+		return true
+	}
+}
+
+func (l *Linker) dial(ctx context.Context, peer host.Host) {
+	netDialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	conn, err := netDialer.DialContext(ctx, "tcp", peer.PeerAddress)
+	if err != nil {
+		return
+	}
+	l.logEnd(peer.ID, l.serve(ctx, conn, peer.ID, func() {}))
+}
+
+// jitter spreads a wait over half to one and a half of itself.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// sleep waits and returns false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- /dev/null
+++ b/poplarhook/modules/linker/doc.go
@@ -0,0 +1,2 @@
+// Package linker keeps one authenticated link to each other entry host and moves frames over it.
+package linker
--- /dev/null
+++ b/poplarhook/modules/linker/links.go
@@ -0,0 +1,189 @@
+package linker
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"poplarhook.example/lib/wire"
+)
+
+func (l *Linker) find(id string) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[id]
+}
+
+func (l *Linker) isConnected(id string) bool {
+	return l.find(id) != nil
+}
+
+// startDialers starts one dialer for each wanted peer without one. The caller holds the lock.
+func (l *Linker) startDialers(running context.Context) {
+	if running == nil || l.closed {
+		return
+	}
+	for _, peer := range l.wanted {
+		d := l.dialers[peer.ID]
+		if d != nil && d.peer.PeerAddress == peer.PeerAddress {
+			continue
+		}
+		if d != nil {
+			l.drop(peer.ID, d)
+		}
+		ctx, cancel := context.WithCancel(running)
+		d = &dialer{peer: peer, cancel: cancel, lost: make(chan struct{}, 1)}
+		l.dialers[peer.ID] = d
+		l.running.Go(func() { l.runDialer(ctx, d) })
+	}
+}
+
+// drop ends the dialer and the link of a host. The caller holds the lock.
+func (l *Linker) drop(id string, d *dialer) {
+	d.cancel()
+	delete(l.dialers, id)
+	if k := l.links[id]; k != nil {
+		l.forget(k)
+		k.close()
+	}
+}
+
+// register puts the link in use, or refuses it in favour of the one in use. Of two links to
+// one incarnation that were dialed from both ends, both ends keep the one that the host with
+// the lower id dialed.
+func (l *Linker) register(k *link) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id := k.peer.GetHostId()
+	old := l.links[id]
+	if old != nil && !l.replaces(k, old) {
+		return errors.Wrapf(ErrRefused, "second link to %s", id)
+	}
+	l.links[id] = k
+	if old != nil {
+		old.close()
+		return nil
+	}
+	l.logger.Info("peer connected", zap.String("host_id", id))
+	return nil
+}
+
+func (l *Linker) replaces(k, old *link) bool {
+	if k.peer.GetIncarnation() != old.peer.GetIncarnation() {
+		return true
+	}
+	self := l.self.GetHostId()
+	lower := min(self, k.peer.GetHostId())
+	return k.dialedBy(self) == lower || old.dialedBy(self) != lower
+}
+
+func (l *Linker) unregister(k *link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forget(k)
+}
+
+// forget takes the link out of use. The caller holds the lock.
+func (l *Linker) forget(k *link) {
+	id := k.peer.GetHostId()
+	if l.links[id] != k {
+		return
+	}
+	delete(l.links, id)
+	l.logger.Info("peer disconnected", zap.String("host_id", id))
+	if d := l.dialers[id]; d != nil {
+		select {
+		case d.lost <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// accept serves the connections that other hosts open.
+func (l *Linker) accept(ctx context.Context, listener net.Listener) error {
+	handshakes := make(chan struct{}, maxHandshakes)
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) && ctx.Err() == nil {
+			return errors.Wrap(err, "accept peers")
+		}
+		if err != nil {
+			if !sleep(ctx, minBackoff) {
+				return nil
+			}
+			continue
+		}
+		select {
+		case handshakes <- struct{}{}:
+		default:
+			l.refused.Add(1)
+			conn.Close()
+			continue
+		}
+		l.running.Go(func() {
+			greeted := sync.OnceFunc(func() { <-handshakes })
+			defer greeted()
+			l.logEnd(conn.RemoteAddr().String(), l.serve(ctx, conn, "", greeted))
+		})
+	}
+}
+
+func (l *Linker) logEnd(peer string, err error) {
+	if errors.Is(err, ErrRefused) || errors.Is(err, ErrTooLarge) {
+		l.logger.Debug("link refused", zap.String("peer", peer), zap.Error(err))
+	}
+}
+
+// monitor sends on idle links and closes silent ones.
+func (l *Linker) monitor(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	last := l.clock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := l.clock()
+		// After a pause of this process the links look silent though their bytes wait unread.
+		paused := now.Sub(last) > l.silence/2
+		last = now
+		l.checkLinks(now, paused)
+	}
+}
+
+func (l *Linker) checkLinks(now time.Time, paused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, k := range l.links {
+		if paused {
+			k.conn.lastRead.Store(now.UnixNano())
+		}
+		if now.UnixNano()-k.conn.lastRead.Load() > int64(l.silence) {
+			l.silenced.Add(1)
+			l.logger.Info("peer silent", zap.String("host_id", id))
+			l.forget(k)
+			k.close()
+			continue
+		}
+		if now.UnixNano()-k.conn.lastWrite.Load() >= int64(keepaliveAfter) {
+			l.keepalive(k)
+		}
+	}
+}
+
+// keepalive queues an empty frame, which a receiver reads and ignores.
+func (l *Linker) keepalive(k *link) {
+	empty, err := encode(&wire.Frame{})
+	if err != nil {
+		return
+	}
+	empty.soft = true
+	if _, err := k.outbox.put(empty); err != nil {
+		l.dropped.Add(1)
+	}
+}
--- /dev/null
+++ b/poplarhook/modules/linker/options.go
@@ -0,0 +1,52 @@
+package linker
+
+import (
+	"crypto/tls"
+	"time"
+
+	"go.uber.org/zap"
+	"poplarhook.example/lib/wire"
+)
+
+// Option changes how a Linker is built.
+type Option func(*Linker)
+
+// Limiter decides whether a number of control bytes may be sent now.
+type Limiter interface {
+	Allow(now time.Time, bytes int) bool
+}
+
+// WithHandler sets the function that receives each frame; it runs on the link's reader, so it must not block.
+func WithHandler(handler func(from string, frame *wire.Frame)) Option {
+	return func(l *Linker) { l.handler = handler }
+}
+
+// WithTLS makes every link use mutual TLS with the given settings.
+func WithTLS(config *tls.Config) Option {
+	return func(l *Linker) { l.tls = config }
+}
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option {
+	return func(l *Linker) { l.clock = clock }
+}
+
+// WithLimiter sets the budget that is asked for each frame but heartbeats and configuration.
+func WithLimiter(limiter Limiter) Option {
+	return func(l *Linker) { l.limiter = limiter }
+}
+
+// WithLogger sets where changes of links are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(l *Linker) { l.logger = logger }
+}
+
+// WithSilence sets how long a link may stay silent before it is replaced.
+func WithSilence(silence time.Duration) Option {
+	return func(l *Linker) { l.silence = silence }
+}
+
+// WithQueueLimit sets how many frames may wait on one link.
+func WithQueueLimit(frames int) Option {
+	return func(l *Linker) { l.queueLimit = frames }
+}
