Decide group by group with an owner that lends credits

Cause: entry hosts that decide alone bound nothing. Change: an arbiter for each group (borrower everywhere, lender at the owner), and the coordinator that joins arbiters with requests, peers and time.

--- a/poplarhook/models/report/report.go
+++ b/poplarhook/models/report/report.go
@@ -18,6 +18,8 @@
 	Latency time.Duration
 	// Err is nil when the endpoint gave a whole answer.
 	Err error
+	// Cancelled says that this host gave the exchange up before its end.
+	Cancelled bool
 	// Status is the answer's status code, zero without an answer.
 	Status int
 	// Closing says that the endpoint asked to close the connection.
--- /dev/null
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -0,0 +1,234 @@
+package arbiter
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"poplarhook.example/lib/action"
+	"poplarhook.example/lib/borrower"
+	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/effect"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/observer"
+)
+
+// Arbiter decides for one group at one entry host; it is not safe for concurrent use.
+//
+// Each method that decides takes the present time and returns what is to be done.
+type Arbiter struct {
+	self  string
+	group group.Group
+
+	owner    string
+	heardAt  time.Time
+	borrower *borrower.Borrower
+	hold     time.Duration
+	observer *observer.Observer
+	alone    map[string]int
+
+	endpoints []host.Host
+	byID      map[string]host.Host
+	byNumber  map[uint32]string
+	zoneOut   func(zone string) bool
+
+	// demanded holds when each unanswered demand of this host was first sent, by its number.
+	demanded map[uint64]time.Time
+	// unsent holds releases that could not be sent yet.
+	unsent []*wire.Release
+	// owned is nil unless this host owns the group.
+	owned *ownership
+}
+
+// New returns an Arbiter of the host for the group, without endpoints or an owner.
+func New(self string, g group.Group) *Arbiter {
+	return &Arbiter{
+		self:     self,
+		group:    g,
+		borrower: borrower.New(self),
+		hold:     defaultHold,
+		observer: observer.New(),
+		alone:    make(map[string]int),
+		byID:     make(map[string]host.Host),
+		byNumber: make(map[uint32]string),
+		zoneOut:  func(string) bool { return false },
+		demanded: make(map[uint64]time.Time),
+	}
+}
+
+const (
+	defaultHold = 50 * time.Millisecond
+	// demandMemory is how long an unanswered demand's sending time is kept.
+	demandMemory = time.Minute
+	maxDemanded  = 16384
+)
+
+// Owner returns the entry host that owns the group, empty for none.
+func (a *Arbiter) Owner() string {
+	return a.owner
+}
+
+// IsOwner reports whether this host owns the group.
+func (a *Arbiter) IsOwner() bool {
+	return a.owned != nil
+}
+
+// SetEndpoints replaces the group's endpoints and the test for availability zones that are out.
+func (a *Arbiter) SetEndpoints(now time.Time, endpoints []host.Host, zoneOut func(zone string) bool) effect.Effect {
+	a.endpoints = endpoints
+	a.zoneOut = zoneOut
+	clear(a.byID)
+	clear(a.byNumber)
+	for _, h := range endpoints {
+		a.byID[h.ID] = h
+		a.byNumber[number(h.ID)] = h.ID
+	}
+	a.observer.Retain(func(id string) bool { _, ok := a.byID[id]; return ok })
+	var e effect.Effect
+	if a.owned != nil {
+		a.owned.setEndpoints(now, endpoints, zoneOut)
+		e.Add(a.lend(now))
+	}
+	e.Add(a.refresh(now))
+	return e
+}
+
+// SetHold sets how long an idle credit is kept; the owner's own are never kept, since asking costs it nothing.
+func (a *Arbiter) SetHold(d time.Duration) {
+	a.hold = d
+	if a.owned != nil {
+		d = 0
+	}
+	a.borrower.SetHold(d)
+}
+
+// Tick does what the passing of time calls for.
+func (a *Arbiter) Tick(now time.Time) effect.Effect {
+	var e effect.Effect
+	if a.owned != nil {
+		e.Add(a.tickOwner(now))
+	}
+	e.Add(a.refresh(now))
+	e.Add(a.act(now, a.borrower.Tick(now)))
+	e.Add(a.resend())
+	a.forgetDemands(now)
+	return e
+}
+
+// IsBusy reports whether the group needs a Tick soon.
+func (a *Arbiter) IsBusy() bool {
+	if a.borrower.Waiting() > 0 || a.borrower.Idle() > 0 || len(a.unsent) > 0 {
+		return true
+	}
+	return a.owned != nil && a.owned.isBusy()
+}
+
+// HasOpen reports whether this host knows of an endpoint that may get new work.
+func (a *Arbiter) HasOpen(now time.Time) bool {
+	for _, h := range a.endpoints {
+		if a.isOpen(now, h) {
+			return true
+		}
+	}
+	return false
+}
+
+func (a *Arbiter) isOpen(now time.Time, h host.Host) bool {
+	return !h.IsLeaving() && !a.zoneOut(h.AvailabilityZone) && !a.observer.IsLeaving(now, h.ID)
+}
+
+// refresh tells the borrower which credits it may use by what this host has seen itself.
+func (a *Arbiter) refresh(now time.Time) effect.Effect {
+	capacities := make([]capacity.Capacity, 0, len(a.endpoints))
+	for _, h := range a.endpoints {
+		capacities = append(capacities, capacity.Capacity{
+			Endpoint: h.ID,
+			Limit:    limitOf(h),
+			Open:     a.isOpen(now, h),
+			Cold:     a.observer.IsDoubted(now, h.ID),
+		})
+	}
+	return a.act(now, a.borrower.SetCapacities(now, capacities))
+}
+
+// act turns what the borrower wants into effects; demands and releases to itself are settled at once.
+func (a *Arbiter) act(now time.Time, wanted action.Action) effect.Effect {
+	var e effect.Effect
+	for !wanted.IsEmpty() {
+		e.Bound = append(e.Bound, wanted.Bound...)
+		e.Expired = append(e.Expired, wanted.Expired...)
+		if a.owned == nil {
+			a.sendToOwner(now, &e, wanted)
+			return e
+		}
+		wanted = a.settle(now, &e, wanted)
+	}
+	return e
+}
+
+// sendToOwner queues the borrower's messages for the owner; without one, demands are sent again later.
+func (a *Arbiter) sendToOwner(now time.Time, e *effect.Effect, wanted action.Action) {
+	if a.owner == "" {
+		return
+	}
+	for _, d := range wanted.Demands {
+		a.noteDemand(now, d.Sequence, d.Count)
+		e.Send(a.owner, a.demandFrame(now, d))
+	}
+	for _, r := range wanted.Releases {
+		e.Send(a.owner, a.releaseFrame(r))
+	}
+}
+
+func (a *Arbiter) noteDemand(now time.Time, sequence uint64, count int) {
+	for i := range uint64(count) {
+		if _, sent := a.demanded[sequence+i]; !sent {
+			a.demanded[sequence+i] = now
+		}
+	}
+}
+
+func (a *Arbiter) forgetDemands(now time.Time) {
+	if len(a.demanded) < maxDemanded {
+		return
+	}
+	for sequence, sentAt := range a.demanded {
+		if now.Sub(sentAt) > demandMemory {
+			delete(a.demanded, sequence)
+		}
+	}
+}
+
+// Unsent takes back a release that could not be sent; it is tried again at the next Tick.
+func (a *Arbiter) Unsent(frame *wire.Frame) {
+	if r := frame.GetRelease(); r != nil {
+		a.unsent = append(a.unsent, r)
+	}
+}
+
+func (a *Arbiter) resend() effect.Effect {
+	var e effect.Effect
+	for _, r := range a.unsent {
+		e.Send(a.owner, &wire.Frame{Body: &wire.Frame_Release{Release: r}})
+	}
+	a.unsent = nil
+	return e
+}
+
+// number stands for an endpoint between entry hosts.
+func number(endpoint string) uint32 {
+	return uint32(xxhash.Sum64String(endpoint))
+}
+
+// limitOf is the most requests in flight at a warm endpoint: one more than its slots hides the way to it.
+func limitOf(h host.Host) int {
+	return max(h.Slots, 1) + 1
+}
+
+// Endpoint returns the listed endpoint of the id.
+func (a *Arbiter) Endpoint(id string) (host.Host, bool) {
+	h, listed := a.byID[id]
+	return h, listed
+}
--- /dev/null
+++ b/poplarhook/services/arbiter/owner.go
@@ -0,0 +1,141 @@
+package arbiter
+
+import (
+	"time"
+
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/effect"
+)
+
+// SetOwner names the entry host that owns the group from now on.
+//
+// Idle credits of the earlier owner are dropped; the new one is told what this
+// host has in flight and which endpoints it knows to be warm.
+func (a *Arbiter) SetOwner(now time.Time, owner string, proved func(endpoint string) bool) effect.Effect {
+	if owner == a.owner {
+		return effect.Effect{}
+	}
+	a.owner = owner
+	a.owned = nil
+	if owner == a.self {
+		a.owned = a.takeOver(now, proved)
+	}
+	a.SetHold(a.hold)
+	return a.restart(now, proved)
+}
+
+// Relink starts anew with the same owner after the link to it broke.
+func (a *Arbiter) Relink(now time.Time, proved func(endpoint string) bool) effect.Effect {
+	if a.owned != nil {
+		return effect.Effect{}
+	}
+	return a.restart(now, proved)
+}
+
+func (a *Arbiter) restart(now time.Time, proved func(endpoint string) bool) effect.Effect {
+	a.unsent = nil
+	clear(a.demanded)
+	var e effect.Effect
+	if a.owned == nil && a.owner != "" {
+		e.Frames = a.holdings(now, proved)
+	}
+	e.Add(a.act(now, a.borrower.Reset(now)))
+	return e
+}
+
+// holdings tells the owner what is in flight here, each endpoint once.
+func (a *Arbiter) holdings(now time.Time, proved func(endpoint string) bool) []effect.Outgoing {
+	inFlight := a.inFlight()
+	var frames []effect.Outgoing
+	for _, h := range a.endpoints {
+		warm := a.observer.IsWarm(now, h.ID) && proved(h.ID)
+		count := inFlight[h.ID]
+		if count == 0 && !warm && len(frames) > 0 {
+			continue
+		}
+		holding := &wire.Holding{
+			Group:    a.group.Number(),
+			Endpoint: number(h.ID),
+			Count:    uint32(count),
+			Warm:     warm,
+			First:    len(frames) == 0,
+		}
+		frames = append(frames, effect.Outgoing{To: a.owner, Frame: &wire.Frame{Body: &wire.Frame_Holding{Holding: holding}}})
+	}
+	return frames
+}
+
+func (a *Arbiter) inFlight() map[string]int {
+	counts := make(map[string]int)
+	for _, h := range a.borrower.InFlight() {
+		counts[h.Endpoint] = h.Count
+	}
+	return counts
+}
+
+// takeOver starts the ownership with what this host itself knows.
+func (a *Arbiter) takeOver(now time.Time, proved func(endpoint string) bool) *ownership {
+	o := newOwnership(a.self)
+	o.setEndpoints(now, a.endpoints, a.zoneOut)
+	for _, h := range a.endpoints {
+		if a.observer.IsWarm(now, h.ID) && proved(h.ID) {
+			o.assumeWarm(now, h.ID, a.observer.Incarnation(h.ID))
+		}
+		if a.observer.IsLeaving(now, h.ID) {
+			o.see(now, &wire.Sighting{EndpointId: h.ID, Leaving: true, Incarnation: a.observer.Incarnation(h.ID)})
+		}
+	}
+	o.apply(now)
+	for endpoint, count := range a.inFlight() {
+		o.lender.Hold(now, a.self, endpoint, count)
+	}
+	return o
+}
+
+// AllowCold lets the owner give work to cold endpoints until the given time.
+func (a *Arbiter) AllowCold(now, until time.Time) effect.Effect {
+	if a.owned == nil {
+		return effect.Effect{}
+	}
+	a.owned.lender.AllowCold(until)
+	return a.deliver(now, a.owned.lender.Tick(now))
+}
+
+// HasCold reports whether this host owns the group and some endpoint of it is cold.
+func (a *Arbiter) HasCold(now time.Time) bool {
+	return a.owned != nil && a.owned.hasCold(now)
+}
+
+// PeerGone notes that the link to a peer broke; what it had in flight counts until the given time.
+func (a *Arbiter) PeerGone(now time.Time, peer string, until time.Time) effect.Effect {
+	if a.owned == nil {
+		return effect.Effect{}
+	}
+	return a.deliver(now, a.owned.lender.Forget(now, peer, until))
+}
+
+// lend grants what the endpoints' present states allow.
+func (a *Arbiter) lend(now time.Time) effect.Effect {
+	return a.deliver(now, a.owned.apply(now))
+}
+
+func (a *Arbiter) tickOwner(now time.Time) effect.Effect {
+	e := a.lend(now)
+	e.Add(a.deliver(now, a.owned.lender.Tick(now)))
+	e.Add(a.recall(now))
+	a.owned.forget(now)
+	return e
+}
+
+// recall asks those who hold idle credits for them while others wait.
+func (a *Arbiter) recall(now time.Time) effect.Effect {
+	var e effect.Effect
+	for _, peer := range a.owned.lender.Recalls(now) {
+		if peer == a.self {
+			e.Add(a.act(now, a.borrower.Recall(now)))
+			continue
+		}
+		e.Send(peer, &wire.Frame{Body: &wire.Frame_Recall{Recall: &wire.Recall{Group: a.group.Number()}}})
+	}
+	return e
+}
--- /dev/null
+++ b/poplarhook/services/arbiter/ownership.go
@@ -0,0 +1,182 @@
+package arbiter
+
+import (
+	"slices"
+	"time"
+
+	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/credit"
+	"poplarhook.example/lib/demand"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/lender"
+	"poplarhook.example/lib/warmer"
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/report"
+)
+
+// ownership is what the owner of a group keeps beyond a borrower.
+type ownership struct {
+	self    string
+	lender  *lender.Lender
+	hosts   []host.Host
+	warmers map[string]*warmer.Warmer
+	applied []capacity.Capacity
+	// received holds when each waiting demand of a peer came, so that a cold credit's life counts from its sending.
+	received map[right]received
+	told     map[string]time.Time
+}
+
+type right struct {
+	borrower string
+	sequence uint64
+}
+
+type received struct {
+	at    time.Time
+	until time.Time
+}
+
+const acknowledgeEvery = 50 * time.Millisecond
+
+func newOwnership(self string) *ownership {
+	return &ownership{
+		self:     self,
+		lender:   lender.New(),
+		warmers:  make(map[string]*warmer.Warmer),
+		received: make(map[right]received),
+		told:     make(map[string]time.Time),
+	}
+}
+
+// apply gives the lender the endpoints' present states and returns what it grants.
+func (o *ownership) apply(now time.Time) []credit.Credit {
+	present := o.capacities(now)
+	if slices.Equal(present, o.applied) {
+		return nil
+	}
+	o.applied = present
+	return o.lender.SetCapacities(now, present)
+}
+
+func (o *ownership) capacities(now time.Time) []capacity.Capacity {
+	capacities := make([]capacity.Capacity, 0, len(o.hosts))
+	for _, h := range o.hosts {
+		w := o.warmers[h.ID]
+		capacities = append(capacities, capacity.Capacity{
+			Endpoint: h.ID,
+			Limit:    w.Limit(now, max(h.Slots, 1)),
+			Cold:     w.Cold(now),
+			Open:     w.Open(now),
+		})
+	}
+	return capacities
+}
+
+func (o *ownership) hasCold(now time.Time) bool {
+	for _, h := range o.hosts {
+		if w := o.warmers[h.ID]; w.Open(now) && w.Cold(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *ownership) isBusy() bool {
+	return o.lender.Waiting() > 0 || len(o.told) > 0
+}
+
+// borrowersOf returns the peers that hold credits for the endpoint.
+func (o *ownership) borrowersOf(endpoint, except string) []string {
+	var peers []string
+	for _, row := range o.lender.Snapshot() {
+		if row.Endpoint == endpoint && row.Count > 0 && row.Borrower != except && row.Borrower != "" {
+			peers = append(peers, row.Borrower)
+		}
+	}
+	return peers
+}
+
+func (o *ownership) noteDemand(now time.Time, d demand.Demand) {
+	for i := range uint64(d.Count) {
+		o.received[right{d.Borrower, d.Sequence + i}] = received{at: now, until: d.Until}
+	}
+}
+
+// mayAcknowledge bounds how often a waiting peer hears that credits are scarce.
+func (o *ownership) mayAcknowledge(now time.Time, peer string) bool {
+	if now.Sub(o.told[peer]) < acknowledgeEvery {
+		return false
+	}
+	o.told[peer] = now
+	return true
+}
+
+// forget drops what is noted of demands that are over.
+func (o *ownership) forget(now time.Time) {
+	for key, r := range o.received {
+		if now.After(r.until) {
+			delete(o.received, key)
+		}
+	}
+	for peer, at := range o.told {
+		if now.Sub(at) > time.Second {
+			delete(o.told, peer)
+		}
+	}
+}
+
+// hold takes in what a borrower has in flight at an endpoint, and which endpoints it knows to be warm.
+func (o *ownership) hold(now time.Time, borrower, endpoint string, h *wire.Holding) []credit.Credit {
+	if h.GetFirst() {
+		for _, listed := range o.hosts {
+			o.lender.Hold(now, borrower, listed.ID, 0)
+		}
+	}
+	if endpoint == "" {
+		return nil
+	}
+	if h.GetWarm() {
+		o.assumeWarm(now, endpoint, "")
+	}
+	o.lender.Hold(now, borrower, endpoint, int(h.GetCount()))
+	return append(o.apply(now), o.lender.Tick(now)...)
+}
+
+// creditFrame tells a peer of its credit; a cold one's life counts from when its demand was sent.
+func (o *ownership) creditFrame(g group.Group, c credit.Credit) *wire.Frame {
+	r := o.received[right{c.Borrower, c.Sequence}]
+	for i := range uint64(c.Count) {
+		delete(o.received, right{c.Borrower, c.Sequence + i})
+	}
+	ttl := time.Duration(0)
+	if !c.Until.IsZero() && !r.at.IsZero() {
+		ttl = max(c.Until.Sub(r.at), 0)
+	}
+	return &wire.Frame{Body: &wire.Frame_Credit{Credit: &wire.Credit{
+		Group:    g.Number(),
+		Endpoint: number(c.Endpoint),
+		Count:    uint32(c.Count),
+		TtlMs:    uint32(ttl.Milliseconds()),
+		Sequence: c.Sequence,
+		Cold:     c.Cold,
+		Scarce:   c.Scarce,
+	}}}
+}
+
+// observe takes in what an exchange of this host showed.
+func (o *ownership) observe(now time.Time, endpoint string, cold bool, r report.Report) {
+	_, _, _, _ = now, endpoint, cold, r
+}
+
+func (o *ownership) see(now time.Time, s *wire.Sighting) {
+	_, _ = now, s
+}
+
+func (o *ownership) assumeWarm(now time.Time, endpoint, incarnation string) {
+	_, _, _ = now, endpoint, incarnation
+}
+
+func (o *ownership) setEndpoints(now time.Time, hosts []host.Host, zoneOut func(string) bool) {
+	_, _, _ = now, hosts, zoneOut
+}
--- /dev/null
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -0,0 +1,213 @@
+package coordinator
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/binding"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/effect"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/report"
+	"poplarhook.example/poplarhook/modules/linker"
+	"poplarhook.example/poplarhook/services/arbiter"
+)
+
+// link sends frames to other entry hosts without waiting.
+type link interface {
+	Send(hostID string, frame *wire.Frame) error
+}
+
+// places gives the endpoints of each group and the availability zones that are out.
+type places interface {
+	Endpoints(g group.Group) []host.Host
+	IsZoneOut(zone string) bool
+	Groups() []group.Group
+}
+
+// members names the owner of each group and counts the entry hosts that share its endpoints.
+type members interface {
+	Owner(now time.Time, g group.Group) string
+	Sharers(now time.Time) int
+}
+
+// connections tells whether a connection is open on which no close was seen.
+type connections interface {
+	Proved(endpoint host.Host) bool
+}
+
+// Coordinator binds requests to endpoints together with the other entry hosts, safe for concurrent use.
+type Coordinator struct {
+	self         string
+	region       string
+	clock        func() time.Time
+	link         link
+	places       places
+	members      members
+	connections  connections
+	ownerTimeout time.Duration
+	orphanFor    time.Duration
+	count        func(event string)
+	lastID       atomic.Uint64
+
+	mu       sync.RWMutex
+	cells    map[group.Group]*cell
+	byNumber map[uint32]group.Group
+	hold     time.Duration
+}
+
+// Option changes how a Coordinator is built.
+type Option func(*Coordinator)
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option {
+	return func(c *Coordinator) { c.clock = clock }
+}
+
+// WithOwnerTimeout sets how long an owner may be silent before a request is bound alone.
+func WithOwnerTimeout(timeout time.Duration) Option {
+	return func(c *Coordinator) { c.ownerTimeout = timeout }
+}
+
+// WithOrphanFor sets how long the requests of a lost peer count as in flight.
+func WithOrphanFor(span time.Duration) Option {
+	return func(c *Coordinator) { c.orphanFor = span }
+}
+
+// WithCounter sets where events are counted.
+func WithCounter(count func(event string)) Option {
+	return func(c *Coordinator) { c.count = count }
+}
+
+const (
+	defaultOwnerTimeout = 25 * time.Millisecond
+	defaultOrphanFor    = 2 * time.Second
+	defaultHold         = 50 * time.Millisecond
+)
+
+// New returns a Coordinator for the host in the region, without groups.
+func New(self, region string, l link, p places, m members, conns connections, options ...Option) *Coordinator {
+	c := &Coordinator{
+		self:         self,
+		region:       region,
+		clock:        time.Now,
+		link:         l,
+		places:       p,
+		members:      m,
+		connections:  conns,
+		ownerTimeout: defaultOwnerTimeout,
+		orphanFor:    defaultOrphanFor,
+		count:        func(string) {},
+		cells:        make(map[group.Group]*cell),
+		byNumber:     make(map[uint32]group.Group),
+		hold:         defaultHold,
+	}
+	for _, option := range options {
+		option(c)
+	}
+	return c
+}
+
+// cellFor returns the group's cell, which starts with the present endpoints and owner.
+func (c *Coordinator) cellFor(g group.Group) *cell {
+	c.mu.RLock()
+	found := c.cells[g]
+	c.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if found := c.cells[g]; found != nil {
+		return found
+	}
+	created := &cell{arbiter: arbiter.New(c.self, g), waiting: make(map[uint64]chan binding.Binding)}
+	created.arbiter.SetHold(c.hold)
+	created.mu.Lock()
+	defer created.mu.Unlock()
+	c.update(c.clock(), g, created)
+	c.cells[g] = created
+	c.byNumber[g.Number()] = g
+	return created
+}
+
+// update gives a locked cell its present endpoints and owner.
+func (c *Coordinator) update(now time.Time, g group.Group, in *cell) {
+	c.perform(now, in, in.arbiter.SetEndpoints(now, c.places.Endpoints(g), c.places.IsZoneOut))
+	c.perform(now, in, in.arbiter.SetOwner(now, c.members.Owner(now, g), c.provedIn(g)))
+}
+
+func (c *Coordinator) provedIn(g group.Group) func(endpoint string) bool {
+	return func(endpoint string) bool {
+		for _, h := range c.places.Endpoints(g) {
+			if h.ID == endpoint {
+				return c.connections.Proved(h)
+			}
+		}
+		return false
+	}
+}
+
+// Update takes in a change of hosts, configuration or members.
+func (c *Coordinator) Update(now time.Time) {
+	for _, g := range c.places.Groups() {
+		if g.Region == c.region {
+			c.cellFor(g)
+		}
+	}
+	c.each(func(g group.Group, in *cell) { c.update(now, g, in) })
+}
+
+// SetHold sets how long idle credits are kept.
+func (c *Coordinator) SetHold(d time.Duration) {
+	c.mu.Lock()
+	c.hold = d
+	c.mu.Unlock()
+	c.each(func(_ group.Group, in *cell) { in.arbiter.SetHold(d) })
+}
+
+// each calls visit for every cell, locked.
+func (c *Coordinator) each(visit func(g group.Group, in *cell)) {
+	c.mu.RLock()
+	groups := make([]group.Group, 0, len(c.cells))
+	cells := make([]*cell, 0, len(c.cells))
+	for g, in := range c.cells {
+		groups = append(groups, g)
+		cells = append(cells, in)
+	}
+	c.mu.RUnlock()
+	for i, in := range cells {
+		in.mu.Lock()
+		visit(groups[i], in)
+		in.mu.Unlock()
+	}
+}
+
+// perform does what a locked cell's arbiter wants and reports whether every demand was sent.
+func (c *Coordinator) perform(now time.Time, in *cell, e effect.Effect) (sent bool) {
+	sent = true
+	for _, b := range e.Bound {
+		if !in.deliver(b) {
+			c.perform(now, in, in.arbiter.Finish(now, b.Endpoint, b.Cold, report.Report{Cancelled: true}))
+		}
+	}
+	for _, id := range e.Expired {
+		in.expire(id)
+	}
+	for _, outgoing := range e.Frames {
+		err := c.link.Send(outgoing.To, outgoing.Frame)
+		if err == nil {
+			continue
+		}
+		c.count("control_unsent")
+		if !errors.Is(err, linker.ErrNotConnected) {
+			in.arbiter.Unsent(outgoing.Frame)
+		}
+		sent = sent && outgoing.Frame.GetDemand() == nil
+	}
+	return sent
+}
--- /dev/null
+++ b/poplarhook/services/coordinator/doc.go
@@ -0,0 +1,2 @@
+// Package coordinator binds requests to endpoints together with the other entry hosts.
+package coordinator
--- /dev/null
+++ b/poplarhook/services/coordinator/peers.go
@@ -0,0 +1,106 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/group"
+)
+
+const (
+	tickEvery = 5 * time.Millisecond
+	// sweepEvery is how many ticks pass between visits to idle groups.
+	sweepEvery = 20
+)
+
+// Receive takes in a frame about a group from another entry host; frames about unknown groups are counted.
+func (c *Coordinator) Receive(now time.Time, from string, frame *wire.Frame) {
+	g, known := c.groupOf(frame)
+	if !known {
+		c.count("frame_for_unknown_group")
+		return
+	}
+	in := c.cellFor(g)
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.perform(now, in, in.arbiter.Receive(now, from, frame))
+}
+
+func (c *Coordinator) groupOf(frame *wire.Frame) (group.Group, bool) {
+	var n uint32
+	switch body := frame.GetBody().(type) {
+	case *wire.Frame_Demand:
+		n = body.Demand.GetGroup()
+	case *wire.Frame_Credit:
+		n = body.Credit.GetGroup()
+	case *wire.Frame_Release:
+		n = body.Release.GetGroup()
+	case *wire.Frame_Recall:
+		n = body.Recall.GetGroup()
+	case *wire.Frame_Holding:
+		n = body.Holding.GetGroup()
+	case *wire.Frame_Sighting:
+		n = body.Sighting.GetGroup()
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	g, known := c.byNumber[n]
+	return g, known
+}
+
+// PeerUp notes a new link to an entry host: groups that it owns start anew with it.
+func (c *Coordinator) PeerUp(now time.Time, peer string) {
+	c.each(func(g group.Group, in *cell) {
+		if in.arbiter.Owner() == peer {
+			c.perform(now, in, in.arbiter.Relink(now, c.provedIn(g)))
+		}
+	})
+}
+
+// PeerDown notes a broken link to an entry host, whose credits stay out until its requests must be over.
+func (c *Coordinator) PeerDown(now time.Time, peer string) {
+	until := now.Add(c.orphanFor)
+	c.each(func(_ group.Group, in *cell) {
+		c.perform(now, in, in.arbiter.PeerGone(now, peer, until))
+	})
+}
+
+// Lost notes that an endpoint closed a connection unasked.
+func (c *Coordinator) Lost(now time.Time, endpoint host.Host) {
+	in := c.cellFor(group.Group{Service: endpoint.Service, Region: endpoint.Region})
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.count("endpoint_closed_connection")
+	c.perform(now, in, in.arbiter.Lost(now, endpoint.ID))
+}
+
+// Run does what the passing of time calls for until the context ends; the channel gives the end.
+func (c *Coordinator) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		c.tick(ctx)
+		done <- nil
+	}()
+	return done
+}
+
+func (c *Coordinator) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := c.clock()
+		sweep := n%sweepEvery == 0
+		c.each(func(_ group.Group, in *cell) {
+			if sweep || in.arbiter.IsBusy() {
+				c.perform(now, in, in.arbiter.Tick(now))
+			}
+		})
+	}
+}
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -25,18 +25,18 @@
 	sentAt := d.clock()
 	if !b.ValidAt(sentAt) {
 		d.counter("binding_expired")
-		d.binder.Finish(b, report.Report{Err: exchanger.ErrNotSent})
+		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrNotSent})
 		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
 	}
 	response, err := d.sender.Send(ctx, b, j) //nolint:bodyclose // readStart or the answer's release closes it
 	if err != nil {
-		return nil, d.failed(b, report.Report{}, sentAt, err)
+		return nil, d.failed(ctx, b, report.Report{}, sentAt, err)
 	}
 	seen := report.FromHeader(response.StatusCode, response.Header)
 	seen.Closing = seen.Closing || response.Close
 	start, whole, err := readStart(response.Body)
 	if err != nil {
-		return nil, d.failed(b, seen, sentAt, err)
+		return nil, d.failed(ctx, b, seen, sentAt, err)
 	}
 	if whole && promisesNotRun(response, start) {
 		d.counter("endpoint_refused")
@@ -66,7 +66,8 @@
 }
 
 // failed ends the binding of a broken attempt and tells how far the attempt came.
-func (d *Dispatcher) failed(b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
+func (d *Dispatcher) failed(ctx context.Context, b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
+	seen.Cancelled = ctx.Err() != nil
 	d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), err))
 	if errors.Is(err, exchanger.ErrNotSent) {
 		d.counter("attempt_not_sent")
