--- /dev/null
+++ b/lib/ranker/ranker.go
@@ -0,0 +1,99 @@
+package ranker
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Ranker ranks a fixed set of members by highest random weight; it is immutable.
+type Ranker struct {
+	members []weighted
+}
+
+// weighted is a member with the hash of its name, or with its weight for one key.
+type weighted struct {
+	name string
+	hash uint64
+}
+
+// New returns a Ranker of the members; names given twice count once.
+func New(members ...string) Ranker {
+	names := slices.Clone(members)
+	slices.Sort(names)
+	names = slices.Compact(names)
+	r := Ranker{members: make([]weighted, 0, len(names))}
+	for _, name := range names {
+		r.members = append(r.members, weighted{name: name, hash: xxhash.Sum64String(name)})
+	}
+	return r
+}
+
+// Members returns the names of the members, sorted.
+func (r Ranker) Members() []string {
+	return names(r.members)
+}
+
+// With returns a copy that has the member too.
+func (r Ranker) With(member string) Ranker {
+	return New(append(r.Members(), member)...)
+}
+
+// Without returns a copy that lacks the member.
+func (r Ranker) Without(member string) Ranker {
+	return New(slices.DeleteFunc(r.Members(), func(name string) bool { return name == member })...)
+}
+
+// Owner returns the highest member for the key, empty without members.
+func (r Ranker) Owner(key string) string {
+	keyHash := mix(xxhash.Sum64String(key))
+	best := weighted{}
+	for i, m := range r.members {
+		candidate := weighted{name: m.name, hash: mix(m.hash ^ keyHash)}
+		if i == 0 || compare(candidate, best) < 0 {
+			best = candidate
+		}
+	}
+	return best.name
+}
+
+// Rank returns all members for the key, highest first.
+func (r Ranker) Rank(key string) []string {
+	keyHash := mix(xxhash.Sum64String(key))
+	ranked := make([]weighted, 0, len(r.members))
+	for _, m := range r.members {
+		ranked = append(ranked, weighted{name: m.name, hash: mix(m.hash ^ keyHash)})
+	}
+	slices.SortFunc(ranked, compare)
+	return names(ranked)
+}
+
+// Best returns the count highest members for the key, or all when there are fewer.
+func (r Ranker) Best(key string, count int) []string {
+	ranked := r.Rank(key)
+	return ranked[:min(max(count, 0), len(ranked))]
+}
+
+// compare orders by falling weight; the name settles equal weights.
+func compare(a, b weighted) int {
+	return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
+}
+
+// mix is the finalizer of splitmix64, which spreads each bit over the whole word.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	x ^= x >> 31
+	return x
+}
+
+func names(members []weighted) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.name)
+	}
+	return out
+}
--- /dev/null
+++ b/poplarhook/models/member/doc.go
@@ -0,0 +1,2 @@
+// Package member holds what is known of one entry host.
+package member
