--- /dev/null
+++ b/tests/applier/doc.go
@@ -0,0 +1,2 @@
+// Package applier writes accepted configurations straight into the store.
+package applier
--- /dev/null
+++ b/tests/mix/doc.go
@@ -0,0 +1,2 @@
+// Package mix holds the loads of the two users' deployments.
+package mix
--- /dev/null
+++ b/tests/process/doc.go
@@ -0,0 +1,2 @@
+// Package process starts one program, reads its ready line and signals it by its own id.
+package process
--- /dev/null
+++ b/tests/process/process_test.go
@@ -0,0 +1,77 @@
+package process_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/tests/process"
+)
+
+const limit = 10 * time.Second
+
+type readyLine struct {
+	Address string `json:"address"`
+}
+
+func start(c *qt.C, script string) *process.Process {
+	p, err := process.Start("shell", "/bin/sh", c.TempDir(), []string{"WORD=a:1"}, "-c", script)
+	c.Assert(err, qt.IsNil)
+	return p
+}
+
+func TestReadyAndStop(t *testing.T) {
+	c := qt.New(t)
+	folder := c.TempDir()
+	script := `trap 'exit 0' TERM; echo "{\"address\":\"$WORD\"}"; echo more; echo oops >&2; while :; do sleep 0.05; done`
+	p, err := process.Start("shell", "/bin/sh", folder, []string{"WORD=a:1"}, "-c", script)
+	c.Assert(err, qt.IsNil)
+	var line readyLine
+	c.Assert(p.Ready(t.Context(), &line), qt.IsNil)
+	c.Assert(line.Address, qt.Equals, "a:1")
+	c.Assert(p.Freeze(), qt.IsNil)
+	c.Assert(p.Stop(limit), qt.IsNil)
+	c.Assert(syscall.Kill(p.ID(), 0), qt.Equals, syscall.ESRCH)
+	text, err := os.ReadFile(filepath.Join(folder, "shell.stdout"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Equals, "{\"address\":\"a:1\"}\nmore\n")
+	text, err = os.ReadFile(filepath.Join(folder, "shell.stderr"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Equals, "oops\n")
+}
+
+func TestStopKillsWhatHangs(t *testing.T) {
+	c := qt.New(t)
+	p := start(c, `trap '' TERM; echo {}; while :; do sleep 0.05; done`)
+	var line readyLine
+	c.Assert(p.Ready(t.Context(), &line), qt.IsNil)
+	c.Assert(p.Stop(50*time.Millisecond), qt.ErrorIs, process.ErrKilled)
+	c.Assert(syscall.Kill(p.ID(), 0), qt.Equals, syscall.ESRCH)
+}
+
+func TestReadyOfAProgramThatEnds(t *testing.T) {
+	c := qt.New(t)
+	p := start(c, `exit 3`)
+	var line readyLine
+	err := p.Ready(t.Context(), &line)
+	c.Assert(err, qt.ErrorIs, process.ErrNotReady)
+	c.Assert(err, qt.ErrorMatches, `.*exit status 3.*`)
+	c.Assert(p.Stop(limit), qt.ErrorIs, process.ErrEnded)
+}
+
+func TestReadyIsBounded(t *testing.T) {
+	c := qt.New(t)
+	p := start(c, `exec sleep 60`)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	var line readyLine
+	c.Assert(p.Ready(ctx, &line), qt.ErrorIs, process.ErrNotReady)
+	c.Assert(p.Kill(), qt.IsNil)
+	<-p.Done()
+	c.Assert(p.Stop(limit), qt.IsNil)
+}
--- /dev/null
+++ b/tests/verdict/doc.go
@@ -0,0 +1,2 @@
+// Package verdict holds what a demonstration has shown, in its JSON form.
+package verdict
--- /dev/null
+++ b/tests/verdict/verdict.go
@@ -0,0 +1,53 @@
+package verdict
+
+import "poplarhook.example/poplarbench/result"
+
+// Verdict is what a demonstration has shown.
+type Verdict struct {
+	Sent               int64   `json:"sent"`
+	Served             int64   `json:"served"`
+	NotRun             int64   `json:"not_run"`
+	Unknown            int64   `json:"unknown"`
+	Broken             int64   `json:"broken"`
+	WrongAnswer        int64   `json:"wrong_answer"`
+	Lost               int64   `json:"lost"`
+	Doubled            int64   `json:"doubled"`
+	FalseNotRun        int64   `json:"false_not_run"`
+	ServedAgainstClass int64   `json:"served_against_class"`
+	ExtraExecutions    int64   `json:"extra_executions"`
+	P50MS              float64 `json:"p50_ms"`
+	P99MS              float64 `json:"p99_ms"`
+	// Failure says what kept the demonstration from its end, empty when nothing did.
+	Failure string `json:"failure,omitempty"`
+}
+
+// New returns the verdict on a measured run.
+func New(measured result.Result) Verdict {
+	return Verdict{
+		Sent:               measured.Sent,
+		Served:             measured.Served,
+		NotRun:             measured.NotRun,
+		Unknown:            measured.Unknown,
+		Broken:             measured.Broken,
+		WrongAnswer:        measured.WrongAnswer,
+		Lost:               measured.Lost,
+		Doubled:            measured.Doubled,
+		FalseNotRun:        measured.FalseNotRun,
+		ServedAgainstClass: measured.ServedAgainstClass,
+		ExtraExecutions:    measured.ExtraExecutions,
+		P50MS:              measured.P50MS,
+		P99MS:              measured.P99MS,
+	}
+}
+
+// WithFailure returns a copy that says what failed.
+func (v Verdict) WithFailure(err error) Verdict {
+	v.Failure = err.Error()
+	return v
+}
+
+// IsGood reports whether requests were served, each as its class permits, and nothing failed.
+func (v Verdict) IsGood() bool {
+	broken := v.Lost + v.Doubled + v.FalseNotRun + v.ServedAgainstClass + v.WrongAnswer
+	return v.Failure == "" && v.Served > 0 && broken == 0
+}
--- /dev/null
+++ b/tests/verdict/verdict_test.go
@@ -0,0 +1,28 @@
+package verdict_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"poplarhook.example/poplarbench/result"
+	"poplarhook.example/tests/verdict"
+)
+
+func TestIsGood(t *testing.T) {
+	good := result.Result{Totals: result.Totals{Sent: 3, Served: 1, Unknown: 1, NotRun: 1}}
+	bad := []result.Totals{
+		{Sent: 1},
+		{Served: 1, WrongAnswer: 1},
+		{Served: 1, Account: result.Account{Lost: 1}},
+		{Served: 1, Account: result.Account{Doubled: 1}},
+		{Served: 1, Account: result.Account{FalseNotRun: 1}},
+		{Served: 1, Account: result.Account{ServedAgainstClass: 1}},
+	}
+	qt.Assert(t, verdict.New(good).IsGood(), qt.IsTrue)
+	qt.Assert(t, verdict.New(good).WithFailure(errors.New("hung")).IsGood(), qt.IsFalse)
+	for _, totals := range bad {
+		qt.Assert(t, verdict.New(result.Result{Totals: totals}).IsGood(), qt.IsFalse)
+	}
+}
