Accept changes by one conditional update of the index

Cause: nothing wrote the configuration that the entry hosts are to apply. Change: publisher writes a team's document under its change's own key and then updates the index on condition of its version. A lost reply is settled by trying the same condition again and looking for the change's id in the history, so that a write still on its way cannot make an answer untrue. Conclusion: an answer is accepted, not accepted, or says that it is unknown.

--- /dev/null
+++ b/lib/assembler/doc.go
@@ -0,0 +1,2 @@
+// Package assembler puts the snapshot together that an index names.
+package assembler
--- /dev/null
+++ b/lib/difference/doc.go
@@ -0,0 +1,2 @@
+// Package difference compares two documents of a team.
+package difference
--- a/lib/index/index.go
+++ b/lib/index/index.go
@@ -1,10 +1,24 @@
 package index
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Key is the key of the index object in the store.
 const Key = "config/index"
 
+// MaxHistory is how many changes the history keeps.
+const MaxHistory = 100
+
+const documentsPrefix = "config/documents/"
+
+// DocumentKey returns the key of the object that holds a team's document of one change.
+func DocumentKey(changeID, team string) string {
+	return documentsPrefix + changeID + "/" + team
+}
+
 // Index is the object whose conditional update is the moment a change is accepted.
 type Index struct {
 	Revision  int64    `json:"revision"`
@@ -14,10 +28,12 @@
 	History   []Change `json:"history"`
 }
 
-// Entry names the immutable object that holds the current document of a team.
+// Entry names the immutable object that holds the current document of a team
+// and the revision that put it in force.
 type Entry struct {
-	Team string `json:"team"`
-	Key  string `json:"key"`
+	Team     string `json:"team"`
+	Key      string `json:"key"`
+	Revision int64  `json:"revision"`
 }
 
 // Change is one accepted change, newest first in the history.
@@ -28,3 +44,59 @@
 	Summary  string    `json:"summary"`
 	At       time.Time `json:"at"`
 }
+
+// Entry returns the entry of a team, if it has one.
+func (x Index) Entry(team string) (Entry, bool) {
+	for _, entry := range x.Documents {
+		if entry.Team == team {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Change returns the change of an id, if the history still holds it.
+func (x Index) Change(id string) (Change, bool) {
+	for _, change := range x.History {
+		if change.ChangeID == id {
+			return change, true
+		}
+	}
+	return Change{}, false
+}
+
+// Remembers reports whether the history still holds every change after the given revision.
+func (x Index) Remembers(after int64) bool {
+	return x.Revision-int64(len(x.History)) <= after
+}
+
+// WithEntry returns a copy in which the team's document is the entry's.
+func (x Index) WithEntry(entry Entry) Index {
+	x.Documents = slices.DeleteFunc(slices.Clone(x.Documents), func(e Entry) bool { return e.Team == entry.Team })
+	x.Documents = append(x.Documents, entry)
+	slices.SortFunc(x.Documents, func(a, b Entry) int { return strings.Compare(a.Team, b.Team) })
+	return x
+}
+
+// WithZoneOut returns a copy with the availability zone out.
+func (x Index) WithZoneOut(zone string) Index {
+	x = x.WithZoneIn(zone)
+	x.ZonesOut = append(x.ZonesOut, zone)
+	slices.Sort(x.ZonesOut)
+	return x
+}
+
+// WithZoneIn returns a copy with the availability zone back in.
+func (x Index) WithZoneIn(zone string) Index {
+	x.ZonesOut = slices.DeleteFunc(slices.Clone(x.ZonesOut), func(z string) bool { return z == zone })
+	return x
+}
+
+// WithChange returns a copy at the change's revision, with the change newest in the history.
+func (x Index) WithChange(change Change) Index {
+	x.Revision = change.Revision
+	x.ChangeID = change.ChangeID
+	kept := x.History[:min(len(x.History), MaxHistory-1)]
+	x.History = append([]Change{change}, kept...)
+	return x
+}
--- /dev/null
+++ b/lib/proposal/doc.go
@@ -0,0 +1,2 @@
+// Package proposal holds one change that an operator asks for.
+package proposal
--- /dev/null
+++ b/lib/proposal/proposal.go
@@ -0,0 +1,102 @@
+package proposal
+
+import (
+	"fmt"
+	"time"
+
+	"poplarhook.example/lib/document"
+	"poplarhook.example/lib/index"
+)
+
+// Proposal is one change of the configuration, with the id that its operator chose for it.
+type Proposal struct {
+	changeID string
+	author   string
+	at       time.Time
+	base     *int64
+	document *document.Document
+	zoneOut  string
+	zoneIn   string
+}
+
+// ForDocument returns the proposal to put a team's whole document in force.
+func ForDocument(changeID, author string, at time.Time, doc document.Document) Proposal {
+	return Proposal{changeID: changeID, author: author, at: at, document: &doc}
+}
+
+// ForZoneOut returns the proposal to take an availability zone out.
+func ForZoneOut(changeID, author string, at time.Time, zone string) Proposal {
+	return Proposal{changeID: changeID, author: author, at: at, zoneOut: zone}
+}
+
+// ForZoneIn returns the proposal to bring an availability zone back.
+func ForZoneIn(changeID, author string, at time.Time, zone string) Proposal {
+	return Proposal{changeID: changeID, author: author, at: at, zoneIn: zone}
+}
+
+// WithBase returns a copy that was made against the given revision.
+func (p Proposal) WithBase(revision int64) Proposal {
+	p.base = &revision
+	return p
+}
+
+// ChangeID returns the id of the change.
+func (p Proposal) ChangeID() string {
+	return p.changeID
+}
+
+// Author returns who asks for the change.
+func (p Proposal) Author() string {
+	return p.author
+}
+
+// Base returns the revision that the change was made against, if it was given.
+func (p Proposal) Base() (int64, bool) {
+	if p.base == nil {
+		return 0, false
+	}
+	return *p.base, true
+}
+
+// Document returns the proposed document, if the change is one of a document.
+func (p Proposal) Document() (document.Document, bool) {
+	if p.document == nil {
+		return document.Document{}, false
+	}
+	return *p.document, true
+}
+
+// Zone returns the availability zone that the change takes out or brings back, if any.
+func (p Proposal) Zone() string {
+	return p.zoneOut + p.zoneIn
+}
+
+// Summary returns the change in a few words.
+func (p Proposal) Summary() string {
+	switch {
+	case p.zoneOut != "":
+		return "zone " + p.zoneOut + " out"
+	case p.zoneIn != "":
+		return "zone " + p.zoneIn + " in"
+	case p.document != nil:
+		return fmt.Sprintf("document of %s with %d classes", p.document.Team, len(p.document.Classes))
+	}
+	return ""
+}
+
+// ApplyTo returns the index as it is once the change is accepted on top of it.
+func (p Proposal) ApplyTo(x index.Index) index.Index {
+	revision := x.Revision + 1
+	switch {
+	case p.document != nil:
+		key := index.DocumentKey(p.changeID, p.document.Team)
+		x = x.WithEntry(index.Entry{Team: p.document.Team, Key: key, Revision: revision})
+	case p.zoneOut != "":
+		x = x.WithZoneOut(p.zoneOut)
+	case p.zoneIn != "":
+		x = x.WithZoneIn(p.zoneIn)
+	}
+	return x.WithChange(index.Change{
+		Revision: revision, ChangeID: p.changeID, Author: p.author, Summary: p.Summary(), At: p.at,
+	})
+}
--- /dev/null
+++ b/lib/publisher/publisher_test.go
@@ -0,0 +1,191 @@
+package publisher_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/class"
+	"poplarhook.example/lib/document"
+	"poplarhook.example/lib/index"
+	"poplarhook.example/lib/proposal"
+	"poplarhook.example/lib/publisher"
+	"poplarhook.example/lib/storer"
+	"poplarhook.example/lib/validator"
+)
+
+var at = time.Date(2026, 4, 3, 2, 1, 0, 0, time.UTC)
+
+func shop(team, prefix string) document.Document {
+	return document.Document{Team: team, Classes: []class.Class{{
+		Name: "lookups", Methods: []string{"GET"}, PathPrefix: prefix, Service: "stock", Execution: class.Idempotent,
+		LatencyTargetMS: 50, DeadlineMS: 500, Spill: class.SpillNever, Urgency: class.UrgencyHigh,
+	}}}
+}
+
+func forShop(id, team, prefix string) proposal.Proposal {
+	return proposal.ForDocument(id, "tester", at, shop(team, prefix))
+}
+
+func atOnce(context.Context, time.Duration) error { return nil }
+
+func newPublisher(store *fakeStore, options ...publisher.Option) *publisher.Publisher {
+	options = append([]publisher.Option{publisher.WithPause(atOnce)}, options...)
+	return publisher.New(store, validator.New(validator.WithZones("fuerth")), options...)
+}
+
+func TestPublish(t *testing.T) {
+	ctx := t.Context()
+	p := newPublisher(newFakeStore(1, faults{}))
+	first, err := p.Publish(ctx, forShop("change-0001", "a", "/a").WithBase(0))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first, qt.DeepEquals, index.Change{
+		Revision: 1, ChangeID: "change-0001", Author: "tester", Summary: "document of a with 1 classes", At: at,
+	})
+	_, err = p.Publish(ctx, proposal.ForZoneOut("change-0002", "tester", at, "fuerth"))
+	qt.Assert(t, err, qt.IsNil)
+	again, err := p.Publish(ctx, forShop("change-0001", "a", "/a").WithBase(0))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, again, qt.DeepEquals, first)
+
+	snap, err := p.Snapshot(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, snap.Revision, qt.Equals, int64(2))
+	qt.Assert(t, snap.Documents, qt.DeepEquals, []document.Document{shop("a", "/a")})
+	qt.Assert(t, snap.IsZoneOut("fuerth"), qt.IsTrue)
+
+	_, err = p.Publish(ctx, proposal.ForZoneIn("change-0003", "tester", at, "fuerth"))
+	qt.Assert(t, err, qt.IsNil)
+	found, err := p.Change(ctx, "change-0003")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found.Summary, qt.Equals, "zone fuerth in")
+	_, err = p.Change(ctx, "change-0004")
+	qt.Assert(t, err, qt.ErrorIs, publisher.ErrUnknownChange)
+}
+
+func TestPublishRefuses(t *testing.T) {
+	ctx := t.Context()
+	store := newFakeStore(1, faults{})
+	p := newPublisher(store)
+	for _, accepted := range []proposal.Proposal{forShop("change-0001", "a", "/a"), forShop("change-0002", "a", "/aa")} {
+		_, err := p.Publish(ctx, accepted)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	before, version, err := p.Index(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range []struct {
+		proposal proposal.Proposal
+		want     error
+		message  string
+	}{
+		{forShop("change-0003", "a", "/b").WithBase(1), publisher.ErrConflict, `change change-0002 \(.*\) by tester at revision 2, after the base revision 1: .*`},
+		{forShop("change-0002", "a", "/b"), publisher.ErrChangeIDUsed, ".*holds another document.*"},
+		{forShop("change-0001", "b", "/b"), publisher.ErrChangeIDUsed, ".*document of a.*"},
+		{proposal.ForZoneOut("change-0001", "tester", at, "fuerth"), publisher.ErrChangeIDUsed, ".*document of a.*"},
+		{forShop("change-0004", "b", "/aa/deep"), validator.ErrInvalid, `(?s).*overlap that of class lookups of team a.*`},
+		{forShop("change-0005", "b", "b"), validator.ErrInvalid, `classes\[0\].path_prefix: "b" .*`},
+		{forShop("id", "b", "/b"), validator.ErrInvalid, `change_id: "id" .*`},
+		{proposal.ForZoneOut("change-0006", "tester", at, "bamberg"), validator.ErrInvalid, `zone: "bamberg" is not allowed: one of fuerth`},
+		{proposal.ForZoneIn("change-0007", "tester", at, "bamberg"), validator.ErrInvalid, `zone: "bamberg" is not allowed: one of fuerth`},
+	} {
+		_, err := p.Publish(ctx, test.proposal)
+		qt.Check(t, err, qt.ErrorIs, test.want)
+		qt.Check(t, err, qt.ErrorMatches, test.message)
+	}
+	after, same, err := p.Index(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, same, qt.Equals, version)
+	qt.Assert(t, after, qt.DeepEquals, before)
+}
+
+// racer lets a rival act right before each update of the index.
+type racer struct {
+	*fakeStore
+	rival func()
+}
+
+func (r *racer) Put(ctx context.Context, key string, value []byte, preconditions ...storer.Precondition) (int64, error) {
+	if key == index.Key {
+		r.rival()
+	}
+	return r.fakeStore.Put(ctx, key, value, preconditions...)
+}
+
+func TestRaces(t *testing.T) {
+	ctx := t.Context()
+	for _, test := range []struct {
+		name  string
+		rival func(id string) proposal.Proposal
+		times int
+		want  error
+	}{
+		{"other team", func(id string) proposal.Proposal { return forShop(id, "b", "/b") }, 3, nil},
+		{"zone", func(id string) proposal.Proposal { return proposal.ForZoneOut(id, "tester", at, "fuerth") }, 3, nil},
+		{"same team", func(id string) proposal.Proposal { return forShop(id, "a", "/b") }, 1, publisher.ErrConflict},
+		{"overlap", func(id string) proposal.Proposal { return forShop(id, "b", "/a/deep") }, 1, validator.ErrInvalid},
+		{"without end", func(id string) proposal.Proposal { return forShop(id, "b", "/b") }, 100, publisher.ErrConflict},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			store := newFakeStore(1, faults{})
+			rivals := newPublisher(store)
+			count := 0
+			racing := publisher.New(&racer{fakeStore: store, rival: func() {
+				if count++; count > test.times {
+					return
+				}
+				_, err := rivals.Publish(ctx, test.rival(fmt.Sprintf("rival-%04d", count)))
+				qt.Assert(t, err, qt.IsNil)
+			}}, validator.New(), publisher.WithPause(atOnce), publisher.WithRebases(5))
+			_, err := racing.Publish(ctx, forShop("change-0001", "a", "/a"))
+			if test.want == nil {
+				qt.Assert(t, err, qt.IsNil)
+				return
+			}
+			qt.Assert(t, err, qt.ErrorIs, test.want)
+			_, err = rivals.Change(ctx, "change-0001")
+			qt.Assert(t, err, qt.ErrorIs, publisher.ErrUnknownChange)
+		})
+	}
+}
+
+// publishOnce gives up at the first pause.
+func publishOnce(t *testing.T, store *fakeStore, wanted proposal.Proposal) error {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	stop := publisher.WithPause(func(context.Context, time.Duration) error {
+		cancel()
+		return nil
+	})
+	_, err := newPublisher(store, stop).Publish(ctx, wanted)
+	return err
+}
+
+func TestOutage(t *testing.T) {
+	store := newFakeStore(1, faults{unavailable: 1})
+	qt.Assert(t, publishOnce(t, store, forShop("change-0001", "a", "/a")), qt.ErrorIs, publisher.ErrUnavailable)
+
+	store.set(faults{lostAfter: 1})
+	out := proposal.ForZoneOut("change-0002", "tester", at, "fuerth")
+	qt.Assert(t, publishOnce(t, store, out), qt.ErrorIs, publisher.ErrUnknownOutcome)
+	store.set(faults{})
+	change, err := newPublisher(store).Publish(t.Context(), out)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, change.Revision, qt.Equals, int64(1))
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	p := newPublisher(newFakeStore(1, faults{}))
+	for i := range index.MaxHistory + 5 {
+		_, err := p.Publish(t.Context(), proposal.ForZoneOut(fmt.Sprintf("change-%04d", i), "tester", at, "fuerth"))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	x, _, err := p.Index(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, x.History, qt.HasLen, index.MaxHistory)
+	qt.Assert(t, x.History[0].ChangeID, qt.Equals, "change-0104")
+	qt.Assert(t, x.Remembers(5), qt.IsTrue)
+	qt.Assert(t, x.Remembers(4), qt.IsFalse)
+}
--- a/lib/validator/document.go
+++ b/lib/validator/document.go
@@ -103,9 +103,10 @@
 func (v Validator) homes(f *findings, c class.Class) {
 	f.atMost("home_regions", len(c.HomeRegions), MaxRegions)
 	seen := map[string]bool{}
+	regions := v.regions()
 	for i, region := range c.HomeRegions {
 		field := fmt.Sprintf("home_regions[%d]", i)
-		f.known(field, region, v.regions)
+		f.known(field, region, regions)
 		f.unique(field, region, seen)
 	}
 	f.oneOf("spill", c.Spill, class.SpillNever, class.SpillOtherRegions)
--- a/lib/validator/validator.go
+++ b/lib/validator/validator.go
@@ -27,8 +27,8 @@
 
 // Validator checks configurations against the rules and the known regions and availability zones.
 type Validator struct {
-	regions []string
-	zones   []string
+	regions func() []string
+	zones   func() []string
 }
 
 // Option changes what a validator knows.
@@ -36,17 +36,28 @@
 
 // WithRegions sets the regions that a document may name; without it any well-formed name passes.
 func WithRegions(regions ...string) Option {
+	return WithRegionsFrom(func() []string { return regions })
+}
+
+// WithRegionsFrom sets where the known regions come from; while there are none any well-formed name passes.
+func WithRegionsFrom(regions func() []string) Option {
 	return func(v *Validator) { v.regions = regions }
 }
 
-// WithZones sets the availability zones that may be out; without it any well-formed name passes.
+// WithZones sets the availability zones that may be taken out; without it any well-formed name passes.
 func WithZones(zones ...string) Option {
+	return WithZonesFrom(func() []string { return zones })
+}
+
+// WithZonesFrom sets where the known availability zones come from; while there are none any well-formed name passes.
+func WithZonesFrom(zones func() []string) Option {
 	return func(v *Validator) { v.zones = zones }
 }
 
 // New returns a validator.
 func New(options ...Option) Validator {
-	var v Validator
+	none := func() []string { return nil }
+	v := Validator{regions: none, zones: none}
 	for _, option := range options {
 		option(&v)
 	}
@@ -79,7 +90,7 @@
 // Zone checks the name of one availability zone.
 func (v Validator) Zone(zone string) error {
 	var f findings
-	f.known("zone", zone, v.zones)
+	f.known("zone", zone, v.zones())
 	return violation.Join(f.list)
 }
 
