--- /dev/null
+++ b/poplarhook/services/assigner/doc.go
@@ -0,0 +1,2 @@
+// Package assigner names the entry host that owns each group.
+package assigner
--- /dev/null
+++ b/poplarhook/services/dispatcher/dispatcher_test.go
@@ -0,0 +1,221 @@
+package dispatcher_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/class"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/poplarhook/models/binding"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/job"
+	"poplarhook.example/poplarhook/models/refusal"
+	"poplarhook.example/poplarhook/models/report"
+	"poplarhook.example/poplarhook/models/wish"
+	"poplarhook.example/poplarhook/modules/exchanger"
+	"poplarhook.example/poplarhook/services/dispatcher"
+)
+
+// fakeBinder bonds to endpoints a, b, c in turn and keeps the balance of bonds.
+type fakeBinder struct {
+	mu       sync.Mutex
+	bound    int
+	finished int
+	full     bool
+}
+
+func (f *fakeBinder) Bind(_ context.Context, w wish.Wish) (binding.Binding, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "full")
+	}
+	f.bound++
+	id := string(rune('a' + f.bound - 1))
+	if id == w.Excluded {
+		return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "excluded")
+	}
+	return binding.Binding{Endpoint: host.Host{ID: id}}, nil
+}
+
+func (f *fakeBinder) Finish(binding.Binding, report.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.finished++
+}
+
+func (f *fakeBinder) balance() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bound - f.finished
+}
+
+// fakeSender plays a script by endpoint id.
+type fakeSender struct {
+	mu     sync.Mutex
+	sent   []string
+	script map[string]func(ctx context.Context) (*http.Response, error)
+}
+
+func (f *fakeSender) Send(ctx context.Context, b binding.Binding, _ job.Job) (*http.Response, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, b.Endpoint.ID)
+	play := f.script[b.Endpoint.ID]
+	f.mu.Unlock()
+	return play(ctx)
+}
+
+func (f *fakeSender) LeaveSilent(host.Host, time.Time) {}
+
+func (f *fakeSender) sends() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sent)
+}
+
+type onePlan struct{}
+
+func (onePlan) Plan(class.Class) []group.Group { return []group.Group{{Service: "stock"}} }
+
+type fixedHedger struct{ delay time.Duration }
+
+func (fixedHedger) Record(time.Time, string, time.Duration) {}
+
+func (f fixedHedger) Delay(time.Time, string, time.Duration) time.Duration { return f.delay }
+
+type freeBudget struct{ allowed bool }
+
+func (freeBudget) Record(time.Time) {}
+
+func (f freeBudget) Spend(time.Time) bool { return f.allowed }
+
+func answers(status int, contentType, body string) func(context.Context) (*http.Response, error) {
+	return func(context.Context) (*http.Response, error) {
+		return &http.Response{
+			StatusCode:    status,
+			Header:        http.Header{"Content-Type": {contentType}, "Content-Length": {strconv.Itoa(len(body))}},
+			ContentLength: int64(len(body)),
+			Body:          io.NopCloser(strings.NewReader(body)),
+		}, nil
+	}
+}
+
+func fails(err error) func(context.Context) (*http.Response, error) {
+	return func(context.Context) (*http.Response, error) { return nil, errors.Wrap(err, "fake") }
+}
+
+func silent(ctx context.Context) (*http.Response, error) {
+	<-ctx.Done()
+	return nil, errors.Wrap(exchanger.ErrBroken, "silent")
+}
+
+type brokenBody struct{ io.Reader }
+
+func (brokenBody) Close() error { return nil }
+
+func truncated(context.Context) (*http.Response, error) {
+	body := io.MultiReader(strings.NewReader("par"), errorReader{})
+	return &http.Response{StatusCode: http.StatusOK, ContentLength: 7, Body: brokenBody{body}}, nil
+}
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, exchanger.ErrBroken }
+
+const refusalBody = `{"outcome":"not_run"}`
+
+func TestOutcomes(t *testing.T) {
+	ok := answers(http.StatusOK, "text/plain", "ok")
+	shed := answers(http.StatusServiceUnavailable, "application/problem+json", refusalBody)
+	bare503 := answers(http.StatusServiceUnavailable, "text/plain", "busy")
+	type script map[string]func(context.Context) (*http.Response, error)
+	cases := []struct {
+		name      string
+		execution string
+		script    script
+		want      error
+		status    int
+		sends     int
+	}{
+		{"once-only served", class.OnceOnly, script{"a": ok}, nil, 200, 1},
+		{"once-only unreachable then served", class.OnceOnly, script{"a": fails(exchanger.ErrNotSent), "b": ok}, nil, 200, 2},
+		{"once-only refused by endpoint then served", class.OnceOnly, script{"a": shed, "b": ok}, nil, 200, 2},
+		{"once-only broken is unknown and not sent again", class.OnceOnly, script{"a": fails(exchanger.ErrBroken), "b": ok}, refusal.ErrUnknown, 502, 1},
+		{"once-only truncated is unknown", class.OnceOnly, script{"a": truncated, "b": ok}, refusal.ErrUnknown, 502, 1},
+		{"once-only silent is unknown", class.OnceOnly, script{"a": silent}, refusal.ErrUnknown, 504, 1},
+		{"once-only 503 without a promise passes on", class.OnceOnly, script{"a": bare503}, nil, 503, 1},
+		{"once-only never sent is not run", class.OnceOnly, script{
+			"a": fails(exchanger.ErrNotSent), "b": fails(exchanger.ErrNotSent),
+			"c": fails(exchanger.ErrNotSent), "d": fails(exchanger.ErrNotSent),
+		}, refusal.ErrNotRun, 503, 4},
+		{"repeatable broken is sent again", class.Idempotent, script{"a": fails(exchanger.ErrBroken), "b": ok}, nil, 200, 2},
+		{"repeatable truncated is sent again", class.Idempotent, script{"a": truncated, "b": ok}, nil, 200, 2},
+		{"repeatable broken everywhere is unknown", class.Idempotent, script{
+			"a": fails(exchanger.ErrNotSent), "b": fails(exchanger.ErrBroken),
+			"c": fails(exchanger.ErrNotSent), "d": fails(exchanger.ErrNotSent),
+		}, refusal.ErrUnknown, 502, 4},
+		{"repeatable silent is hedged", class.Idempotent, script{"a": silent, "b": ok}, nil, 200, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := &fakeBinder{}
+			s := &fakeSender{script: tc.script}
+			d := dispatcher.New(b, s, onePlan{},
+				dispatcher.WithHedges(fixedHedger{20 * time.Millisecond}, freeBudget{true}),
+				dispatcher.WithRetries(freeBudget{true}))
+			a, err := d.Dispatch(context.Background(), newJob(tc.execution))
+			if tc.want == nil {
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(a.Status, quicktest.Equals, tc.status)
+				a.Close()
+			} else {
+				c.Assert(errors.Is(err, tc.want), quicktest.IsTrue, quicktest.Commentf("%v", err))
+				var r *refusal.Refusal
+				c.Assert(errors.As(err, &r), quicktest.IsTrue)
+				c.Assert(r.Status, quicktest.Equals, tc.status)
+			}
+			c.Assert(s.sends(), quicktest.Equals, tc.sends)
+			c.Assert(b.balance(), quicktest.Equals, 0)
+		})
+	}
+}
+
+func TestBudgetsBoundSecondTries(t *testing.T) {
+	c := quicktest.New(t)
+	s := &fakeSender{script: map[string]func(context.Context) (*http.Response, error){"a": fails(exchanger.ErrBroken)}}
+	b := &fakeBinder{}
+	d := dispatcher.New(b, s, onePlan{}, dispatcher.WithRetries(freeBudget{false}))
+	_, err := d.Dispatch(context.Background(), newJob(class.Idempotent))
+	c.Assert(errors.Is(err, refusal.ErrUnknown), quicktest.IsTrue)
+	c.Assert(s.sends(), quicktest.Equals, 1)
+}
+
+func TestFullGroupIsNotRun(t *testing.T) {
+	for _, execution := range []string{class.OnceOnly, class.Idempotent} {
+		c := quicktest.New(t)
+		s := &fakeSender{}
+		d := dispatcher.New(&fakeBinder{full: true}, s, onePlan{})
+		_, err := d.Dispatch(context.Background(), newJob(execution))
+		c.Assert(errors.Is(err, refusal.ErrNotRun), quicktest.IsTrue)
+		c.Assert(s.sends(), quicktest.Equals, 0)
+	}
+}
+
+func newJob(execution string) job.Job {
+	now := time.Now()
+	return job.Job{
+		ID:     "r1",
+		Class:  class.Class{Name: "lookup", Service: "stock", Execution: execution},
+		Method: http.MethodGet, Arrived: now, Until: now.Add(300 * time.Millisecond),
+	}
+}
