Tell a broken once-only request apart from one that timed out

Cause: the context was ended before its error was asked, so every broken attempt looked like a timeout (status 504 where 502 was meant). Change: decide the refusal first, then end the context.

--- a/poplarhook/services/dispatcher/once.go
+++ b/poplarhook/services/dispatcher/once.go
@@ -31,8 +31,9 @@
 			return a.WithRelease(cancel), nil
 		}
 		if !errors.Is(err, refusal.ErrNotRun) {
+			refused := unknown(ctx, err)
 			cancel()
-			return nil, unknown(ctx, err)
+			return nil, refused
 		}
 		if sends == maxSends {
 			cancel()
