Add the stand-ins of endpoints and of a link

Cause: the decisions are proved against endpoints that start cold, fall over, slow down, leave, mislead and break answers, and against links that delay, cut and forget connections.

--- /dev/null
+++ b/standin/account/doc.go
@@ -0,0 +1,2 @@
+// Package account holds what endpoints did and suffered.
+package account
--- /dev/null
+++ b/standin/execution/execution.go
@@ -0,0 +1,16 @@
+package execution
+
+// Execution is one request that an endpoint began to run.
+type Execution struct {
+	RequestID      string `json:"request_id"`
+	EndpointID     string `json:"endpoint_id"`
+	Class          string `json:"class"`
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	Marker         string `json:"marker"`
+	Incarnation    string `json:"incarnation"`
+	StartedUnixUS  int64  `json:"started_unix_us"`
+	FinishedUnixUS int64  `json:"finished_unix_us"`
+	// Completed is false for work that runs, was cancelled or ended with the endpoint.
+	Completed bool `json:"completed"`
+}
--- /dev/null
+++ b/standin/forwarder/doc.go
@@ -0,0 +1,2 @@
+// Package forwarder relays TCP connections over a link that can delay, cut and forget them.
+package forwarder
--- /dev/null
+++ b/standin/gatekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package gatekeeper accepts an endpoint's connections, bounds them and lets them fail.
+package gatekeeper
--- /dev/null
+++ b/standin/loadreport/doc.go
@@ -0,0 +1,2 @@
+// Package loadreport holds what an endpoint reports about its load.
+package loadreport
--- /dev/null
+++ b/standin/queuer/doc.go
@@ -0,0 +1,2 @@
+// Package queuer gives an endpoint's slots to requests in the order of their arrival.
+package queuer
--- /dev/null
+++ b/standin/reporter/doc.go
@@ -0,0 +1,2 @@
+// Package reporter gives out load reports that may lag.
+package reporter
--- /dev/null
+++ b/standin/supervisor/supervisor.go
@@ -0,0 +1,147 @@
+package supervisor
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/standin/account"
+	"poplarhook.example/standin/responder"
+)
+
+// Supervisor holds several endpoints; it is the http.Handler of their common control.
+//
+// The query parameter id of a control request names one endpoint; without it the request is for all.
+type Supervisor struct {
+	endpoints []*responder.Responder
+	handler   http.Handler
+}
+
+// New returns a supervisor of the given endpoints.
+func New(endpoints ...*responder.Responder) *Supervisor {
+	s := &Supervisor{endpoints: endpoints}
+	router := mux.NewRouter()
+	router.HandleFunc("/standin/control", s.serveControl).Methods(http.MethodPost)
+	router.HandleFunc("/standin/executions", s.serveExecutions).Methods(http.MethodGet)
+	router.HandleFunc("/standin/received", s.serveReceived).Methods(http.MethodGet)
+	router.HandleFunc("/standin/hosts", s.serveHosts).Methods(http.MethodGet)
+	s.handler = router
+	return s
+}
+
+// Start starts every endpoint until the context ends; the channel reports the first failure, or the end of all.
+func (s *Supervisor) Start(ctx context.Context) (<-chan error, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ends := make([]<-chan error, 0, len(s.endpoints))
+	for _, endpoint := range s.endpoints {
+		end, err := endpoint.Start(ctx)
+		if err != nil {
+			cancel()
+			return nil, errors.Wrap(err, "start")
+		}
+		ends = append(ends, end)
+	}
+	done := make(chan error, 1)
+	go func() {
+		defer cancel()
+		var first error
+		for _, end := range ends {
+			if err := <-end; err != nil && first == nil {
+				first = err
+				cancel()
+			}
+		}
+		done <- first
+	}()
+	return done, nil
+}
+
+// Hosts returns the hosts that the endpoints play, with their actual addresses and incarnations.
+func (s *Supervisor) Hosts() []host.Host {
+	hosts := make([]host.Host, 0, len(s.endpoints))
+	for _, endpoint := range s.endpoints {
+		hosts = append(hosts, endpoint.Host())
+	}
+	return hosts
+}
+
+// Account returns what all endpoints did and suffered so far.
+func (s *Supervisor) Account() account.Account {
+	return total(s.endpoints)
+}
+
+// ServeHTTP answers control requests.
+func (s *Supervisor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.handler.ServeHTTP(w, r)
+}
+
+func (s *Supervisor) serveControl(w http.ResponseWriter, r *http.Request) {
+	body, err := readBody(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	chosen, ok := s.chosen(w, r)
+	if !ok {
+		return
+	}
+	for _, endpoint := range chosen {
+		if err := endpoint.Control(body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Supervisor) serveExecutions(w http.ResponseWriter, r *http.Request) {
+	chosen, ok := s.chosen(w, r)
+	if !ok {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(total(chosen))
+}
+
+func (s *Supervisor) serveReceived(w http.ResponseWriter, r *http.Request) {
+	chosen, ok := s.chosen(w, r)
+	if !ok {
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	for _, endpoint := range chosen {
+		_, _ = w.Write(endpoint.Received())
+	}
+}
+
+func (s *Supervisor) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.Hosts())
+}
+
+// chosen returns the endpoints that a request is for, or answers 404.
+func (s *Supervisor) chosen(w http.ResponseWriter, r *http.Request) ([]*responder.Responder, bool) {
+	id := r.URL.Query().Get("id")
+	if id == "" {
+		return s.endpoints, true
+	}
+	for _, endpoint := range s.endpoints {
+		if endpoint.Host().ID == id {
+			return []*responder.Responder{endpoint}, true
+		}
+	}
+	http.Error(w, "id "+id+": no such endpoint", http.StatusNotFound)
+	return nil, false
+}
+
+func total(endpoints []*responder.Responder) account.Account {
+	sum := account.Account{}
+	for _, endpoint := range endpoints {
+		sum = sum.With(endpoint.Account())
+	}
+	return sum
+}
