--- a/poplarhook/modules/meter/meter.go
+++ b/poplarhook/modules/meter/meter.go
@@ -22,9 +22,11 @@
 func New(prefix string) *Meter {
 	reporter := prometheus.NewReporter(prometheus.Options{})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Meter{scope: scope, closer: closer, reporter: reporter}
 }
