Bind waiting requests to credits at each entry host

Cause: the owner's limits hold only if each entry host binds by credits alone, and credits must cost few bytes.

Change: borrower binds waiting requests late, by urgency and deadline. A credit is used again after each request; an idle one goes back after the hold, or at once while others wait, and then none is kept for longer than the hold. Cold credits serve one request before their end. What this host knows of an endpoint comes before what the owner granted.

Seen: the property test over a network with delays, repeats, deaths and cuts found (go test ./borrower -rapid.checks=5000 -rapid.steps=150) that an endpoint turning cold, warm and cold again could meet an old cold credit on the way while warm work was in flight: 2 at a limit of 1. The lender now lends a warm endpoint only when no cold credit is out; the cold.jsonl trace, whose outcome had the fault, states the new one.

Also tried, on a scratch copy: the test fails when repeated credits are taken, cold credits reused, a lost borrower's credits freed at once, expired credits used, late rights forgotten or idle credits kept over a reset.

--- /dev/null
+++ b/lib/action/action.go
@@ -0,0 +1,21 @@
+package action
+
+import (
+	"poplarhook.example/lib/binding"
+	"poplarhook.example/lib/demand"
+	"poplarhook.example/lib/release"
+)
+
+// Action is what a borrower wants done: requests to send, messages for the owner, and requests to refuse.
+type Action struct {
+	Bound    []binding.Binding
+	Demands  []demand.Demand
+	Releases []release.Release
+	// Expired lists the requests whose deadline came before they were bound.
+	Expired []uint64
+}
+
+// IsEmpty reports whether there is nothing to do.
+func (a Action) IsEmpty() bool {
+	return len(a.Bound) == 0 && len(a.Demands) == 0 && len(a.Releases) == 0 && len(a.Expired) == 0
+}
--- /dev/null
+++ b/lib/binding/doc.go
@@ -0,0 +1,2 @@
+// Package binding holds which endpoint a waiting request goes to.
+package binding
--- /dev/null
+++ b/lib/borrower/asking.go
@@ -0,0 +1,73 @@
+package borrower
+
+import (
+	"time"
+
+	"poplarhook.example/lib/action"
+	"poplarhook.example/lib/demand"
+)
+
+// mergeWithin is how far apart the deadlines of requests may be that one demand stands for.
+const mergeWithin = 20 * time.Millisecond
+
+// demandFor asks for one more right if the given request waits without one.
+func (b *Borrower) demandFor(now time.Time, a *action.Action, id uint64) {
+	key, waits := b.waiting.Get(id)
+	if !waits || b.missing(key) <= 0 {
+		return
+	}
+	a.Demands = append(a.Demands, b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id), 1))
+}
+
+// demandMissing asks for the rights that waiting requests lack, such as after an unanswered demand has expired.
+func (b *Borrower) demandMissing(now time.Time, a *action.Action) {
+	if !b.isMissing() {
+		return
+	}
+	var pending []demand.Demand
+	for _, id := range b.waiting.All() {
+		key, _ := b.waiting.Get(id)
+		lacking := b.missing(key)
+		if lacking <= 0 {
+			continue
+		}
+		asked := b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id), 1)
+		pending = b.asked.join(pending, asked, mergeWithin)
+	}
+	a.Demands = append(a.Demands, pending...)
+}
+
+// missing returns how many rights the requests like the given one lack.
+//
+// A right of higher urgency stands in for a lower one, not where an endpoint is excluded.
+func (b *Borrower) missing(key bucket) int {
+	if key.excluded != "" {
+		return b.wanted[key] - b.asked.counts[key]
+	}
+	lacking := 0
+	for urgency := urgencies - 1; urgency >= key.urgency; urgency-- {
+		level := bucket{urgency: urgency}
+		lacking = b.wanted[level] - b.asked.counts[level] + lacking
+		if urgency > key.urgency {
+			lacking = min(lacking, 0)
+		}
+	}
+	return lacking
+}
+
+func (b *Borrower) isMissing() bool {
+	for key := range b.wanted {
+		if b.missing(key) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// exclusion keeps the owner from granting again what was just sent back.
+func (b *Borrower) exclusion(key bucket) string {
+	if key.excluded != "" {
+		return key.excluded
+	}
+	return b.refused
+}
--- /dev/null
+++ b/lib/borrower/replay_test.go
@@ -0,0 +1,145 @@
+package borrower_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/action"
+	"poplarhook.example/lib/borrower"
+	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/credit"
+	"poplarhook.example/lib/holding"
+)
+
+// event is one line of a trace: what happens and the stated outcome.
+type event struct {
+	AtUS       int64               `json:"at_us"`
+	Kind       string              `json:"kind"`
+	ID         uint64              `json:"id"`
+	UntilUS    int64               `json:"until_us"`
+	Urgency    int                 `json:"urgency"`
+	Excluded   string              `json:"excluded"`
+	Endpoint   string              `json:"endpoint"`
+	Count      int                 `json:"count"`
+	Sequence   uint64              `json:"sequence"`
+	Cold       bool                `json:"cold"`
+	Scarce     bool                `json:"scarce"`
+	Capacities []capacity.Capacity `json:"capacities"`
+	InFlight   []holding.Holding   `json:"in_flight"`
+
+	Bound    []bound    `json:"bound"`
+	Demands  []demanded `json:"demands"`
+	Releases []released `json:"releases"`
+	Expired  []uint64   `json:"expired"`
+}
+
+type bound struct {
+	ID       uint64 `json:"id"`
+	Endpoint string `json:"endpoint"`
+	Cold     bool   `json:"cold"`
+}
+
+type demanded struct {
+	Sequence uint64 `json:"sequence"`
+	Count    int    `json:"count"`
+	UntilUS  int64  `json:"until_us"`
+	Urgency  int    `json:"urgency"`
+	Excluded string `json:"excluded"`
+}
+
+type released struct {
+	Endpoint  string `json:"endpoint"`
+	Count     int    `json:"count"`
+	Completed int    `json:"completed"`
+}
+
+func at(us int64) time.Time { return time.UnixMicro(us) }
+
+func (e event) apply(b *borrower.Borrower) action.Action {
+	now := at(e.AtUS)
+	switch e.Kind {
+	case "ask":
+		return b.Ask(now, e.ID, at(e.UntilUS), e.Urgency, e.Excluded)
+	case "cancel":
+		return b.Cancel(now, e.ID)
+	case "finish":
+		return b.Finish(now, e.Endpoint, e.Cold)
+	case "credit":
+		c := credit.Credit{Endpoint: e.Endpoint, Count: e.Count, Sequence: e.Sequence, Cold: e.Cold, Scarce: e.Scarce}
+		if e.UntilUS != 0 {
+			c.Until = at(e.UntilUS)
+		}
+		return b.Accept(now, c)
+	case "recall":
+		return b.Recall(now)
+	case "reset":
+		return b.Reset(now)
+	case "capacities":
+		return b.SetCapacities(now, e.Capacities)
+	case "tick":
+		return b.Tick(now)
+	}
+	panic("unknown kind " + e.Kind)
+}
+
+// outcome returns what a trace states of an action, in the form of an event.
+func outcome(a action.Action) event {
+	e := event{Expired: a.Expired}
+	for _, b := range a.Bound {
+		e.Bound = append(e.Bound, bound{ID: b.ID, Endpoint: b.Endpoint, Cold: b.Cold})
+	}
+	for _, d := range a.Demands {
+		e.Demands = append(e.Demands, demanded{
+			Sequence: d.Sequence, Count: d.Count, UntilUS: d.Until.UnixMicro(), Urgency: d.Urgency, Excluded: d.Excluded,
+		})
+	}
+	for _, r := range a.Releases {
+		e.Releases = append(e.Releases, released(r))
+	}
+	return e
+}
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.checks": "500", "rapid.steps": "100"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestReplay(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.jsonl")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(paths) > 0, qt.IsTrue)
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) { replay(t, path) })
+	}
+}
+
+func replay(t *testing.T, path string) {
+	c := qt.New(t)
+	file, err := os.Open(path)
+	c.Assert(err, qt.IsNil)
+	defer file.Close()
+	b := borrower.New("b1", borrower.WithHold(10*time.Millisecond), borrower.WithResend(50*time.Millisecond))
+	lines := bufio.NewScanner(file)
+	for n := 1; lines.Scan(); n++ {
+		var e event
+		c.Assert(json.Unmarshal(lines.Bytes(), &e), qt.IsNil, qt.Commentf("line %d", n))
+		got := outcome(e.apply(b))
+		want := event{Bound: e.Bound, Demands: e.Demands, Releases: e.Releases, Expired: e.Expired}
+		c.Assert(got, qt.DeepEquals, want, qt.Commentf("line %d: %s", n, lines.Text()))
+		if e.InFlight != nil {
+			c.Assert(append([]holding.Holding{}, b.InFlight()...), qt.DeepEquals, e.InFlight, qt.Commentf("line %d", n))
+		}
+	}
+	c.Assert(lines.Err(), qt.IsNil)
+}
--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -78,7 +78,7 @@
 	for _, e := range l.ordered {
 		c.hasWarm = c.hasWarm || (e.open && !e.cold && e.limit > 0)
 		switch {
-		case !e.isFree():
+		case !e.isFree(now):
 		case !e.cold:
 			c.warm.add(e)
 		case !coldAllowed:
@@ -131,6 +131,7 @@
 	if e.cold {
 		e.warmedAt = now
 		granted.Until = earliest(l.waiting.Until(key), now.Add(l.coldValidity), l.coldUntil)
+		e.coldEnds = later(e.coldEnds, granted.Until)
 	}
 	l.waiting.Remove(key)
 	a := l.account(key.borrower)
@@ -171,3 +172,10 @@
 	}
 	return first
 }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/lib/lender/endpoint.go
+++ b/lib/lender/endpoint.go
@@ -20,7 +20,9 @@
 	total     int
 	lastGrant uint64
 	warmedAt  time.Time
-	loans     map[string]*lent
+	// coldEnds is when the last cold credit can no longer be used.
+	coldEnds time.Time
+	loans    map[string]*lent
 }
 
 // lent is what one borrower has of the endpoint.
@@ -37,7 +39,11 @@
 	e.listed = c != capacity.Capacity{Endpoint: e.id}
 }
 
-func (e *endpoint) isFree() bool {
+// isFree waits, after the endpoint has turned warm, until no cold credit is out that could meet it cold again.
+func (e *endpoint) isFree(now time.Time) bool {
+	if !e.cold && e.total > 0 && now.Before(e.coldEnds) {
+		return false
+	}
 	return e.open && e.total < e.limit
 }
 
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -234,7 +234,5 @@
 }
 
 func (l *Lender) expire(now time.Time) {
-	for _, key := range l.waiting.Expire(now) {
-		l.account(key.borrower).waiting--
-	}
+	l.waiting.Expire(now, func(key right, _ string) { l.account(key.borrower).waiting-- })
 }
--- a/lib/waitlist/waitlist.go
+++ b/lib/waitlist/waitlist.go
@@ -36,6 +36,16 @@
 	return ok
 }
 
+// Get returns the value of a key that waits.
+func (w *Waitlist[K, V]) Get(key K) (V, bool) {
+	it, ok := w.items[key]
+	if !ok {
+		var none V
+		return none, false
+	}
+	return it.value, true
+}
+
 // Push adds a value; it replaces one that waits under the same key.
 func (w *Waitlist[K, V]) Push(key K, value V, urgency int, until time.Time) {
 	w.Remove(key)
@@ -45,15 +55,16 @@
 	heap.Push(&w.queues[it.level], it)
 }
 
-// Remove takes a key out and reports whether it waited.
-func (w *Waitlist[K, V]) Remove(key K) bool {
+// Remove takes a key out and returns its value if it waited.
+func (w *Waitlist[K, V]) Remove(key K) (V, bool) {
 	it, ok := w.items[key]
 	if !ok {
-		return false
+		var none V
+		return none, false
 	}
 	delete(w.items, key)
 	heap.Remove(&w.queues[it.level], it.index)
-	return true
+	return it.value, true
 }
 
 // Best returns the first key and value in order that accept takes, without removing them.
@@ -68,17 +79,15 @@
 	return key, value, false
 }
 
-// Expire removes the keys whose deadline has come and returns them in order.
-func (w *Waitlist[K, V]) Expire(now time.Time) []K {
-	var expired []K
+// Expire removes what has reached its deadline and hands it to dropped, in order.
+func (w *Waitlist[K, V]) Expire(now time.Time, dropped func(key K, value V)) {
 	for i := levels - 1; i >= 0; i-- {
 		for len(w.queues[i]) > 0 && !now.Before(w.queues[i][0].until) {
-			key := w.queues[i][0].key
-			w.Remove(key)
-			expired = append(expired, key)
+			it := w.queues[i][0]
+			w.Remove(it.key)
+			dropped(it.key, it.value)
 		}
 	}
-	return expired
 }
 
 // All returns the keys in order.
