--- /dev/null
+++ b/lib/pacer/options.go
@@ -0,0 +1,21 @@
+package pacer
+
+import "time"
+
+const (
+	defaultBurst   = 500 * time.Millisecond
+	defaultMaxHold = 5 * time.Second
+)
+
+// Option changes a setting of a Pacer.
+type Option func(*Pacer)
+
+// WithBurst sets for how long unspent budget is kept, which bounds both a burst and the largest message.
+func WithBurst(d time.Duration) Option {
+	return func(p *Pacer) { p.burst = float64(p.budget) * d.Seconds() }
+}
+
+// WithMaxHold sets the longest hold.
+func WithMaxHold(d time.Duration) Option {
+	return func(p *Pacer) { p.maxHold = d }
+}
--- /dev/null
+++ b/lib/pacer/pacer_test.go
@@ -0,0 +1,80 @@
+package pacer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"poplarhook.example/lib/pacer"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestBudgetIsHard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.Int64Range(100, 100_000).Draw(t, "budget")
+		p := pacer.New(budget)
+		now, spent := start, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "messages") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Millisecond)).Draw(t, "gap")))
+			bytes := rapid.IntRange(1, 200).Draw(t, "bytes")
+			wait := p.Wait(now, bytes)
+			allowed := p.Allow(now, bytes)
+			if allowed != (wait == 0) {
+				t.Fatalf("allowed %v although the wait is %v", allowed, wait)
+			}
+			if allowed {
+				spent += float64(bytes)
+			}
+			if most := float64(budget) * (now.Sub(start).Seconds() + 0.5); spent > most+1e-6 {
+				t.Fatalf("spent %v of %v", spent, most)
+			}
+		}
+	})
+}
+
+// run sends messages at a rate that falls as the hold grows, and returns the mean share of the budget spent.
+func run(p *pacer.Pacer, budget, wanted float64) float64 {
+	const (
+		step    = time.Millisecond
+		message = 20
+		warmUp  = 20 * time.Second
+		span    = 60 * time.Second
+	)
+	owed, spent := 0.0, 0.0
+	for d := time.Duration(0); d < span; d += step {
+		now := start.Add(d)
+		rate := wanted / (1 + p.Hold(now).Seconds()/0.02)
+		for owed += rate * step.Seconds(); owed >= message; owed -= message {
+			if p.Allow(now, message) && d >= warmUp {
+				spent += message
+			}
+		}
+	}
+	return spent / (span - warmUp).Seconds() / budget
+}
+
+func TestHoldApproachesTheBudget(t *testing.T) {
+	const budget = 5000
+	for _, wanted := range []float64{8_000, 50_000, 500_000} {
+		p := pacer.New(budget)
+		share := run(p, budget, wanted)
+		t.Logf("wanted %v B/s: share %.2f, %+v", wanted, share, p.Spending())
+		qt.Assert(t, share > 0.65 && share < 1, qt.IsTrue, qt.Commentf("wanted %v: share %v", wanted, share))
+		qt.Assert(t, p.Coarse() > 0, qt.IsTrue)
+		qt.Assert(t, p.Spending().IsCoarse(), qt.IsTrue)
+	}
+	p := pacer.New(budget)
+	run(p, budget, 1000)
+	qt.Assert(t, p.Hold(start.Add(time.Hour)), qt.Equals, time.Duration(0))
+	qt.Assert(t, p.Coarse(), qt.Equals, uint64(0))
+}
+
+func TestHoldIsBoundedAndSaysSo(t *testing.T) {
+	p := pacer.New(100)
+	run(p, 100, 10_000_000)
+	qt.Assert(t, p.Spending().Hold, qt.Equals, 5*time.Second)
+	qt.Assert(t, p.Spending().Exhausted > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/lib/spending/doc.go
@@ -0,0 +1,2 @@
+// Package spending holds what control traffic has cost, for dumps and counters.
+package spending
