--- a/poplarhook/models/directory/directory.go
+++ b/poplarhook/models/directory/directory.go
@@ -14,11 +14,12 @@
 	entries []host.Host
 	groups  map[group.Group][]host.Host
 	regions []string
+	byAddress map[string]host.Host
 }
 
 // New arranges the hosts of one version of the list.
 func New(version int64, hosts []host.Host) *Directory {
-	d := &Directory{version: version, groups: make(map[group.Group][]host.Host)}
+	d := &Directory{version: version, groups: make(map[group.Group][]host.Host), byAddress: make(map[string]host.Host)}
 	sorted := slices.Clone(hosts)
 	slices.SortFunc(sorted, func(a, b host.Host) int { return strings.Compare(a.ID, b.ID) })
 	for _, h := range sorted {
@@ -37,6 +38,7 @@
 		g := group.Group{Service: h.Service, Region: h.Region}
 		d.groups[g] = append(d.groups[g], h)
 		d.regions = append(d.regions, h.Region)
+		d.byAddress[h.Address] = h
 	}
 }
 
@@ -69,3 +71,18 @@
 func (d *Directory) Regions() []string {
 	return d.regions
 }
+
+// GetEndpointByAddress returns the endpoint at the address and whether one is listed.
+func (d *Directory) GetEndpointByAddress(address string) (host.Host, bool) {
+	h, listed := d.byAddress[address]
+	return h, listed
+}
+
+// Endpoints returns every endpoint.
+func (d *Directory) Endpoints() []host.Host {
+	var all []host.Host
+	for _, g := range d.Groups() {
+		all = append(all, d.groups[g]...)
+	}
+	return all
+}
--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -28,6 +28,8 @@
 	close  context.CancelFunc
 	send   *yamux.Stream
 	reader *bufio.Reader
+	// replaced says that a later link to the host took this one's place.
+	replaced bool
 }
 
 // dialedBy returns the id of the host that opened the connection.
@@ -59,10 +61,15 @@
 		return err
 	}
 	greeted()
-	if err := l.register(k); err != nil {
+	replaced, err := l.register(k)
+	if err != nil {
 		return err
 	}
 	defer l.unregister(k)
+	if replaced {
+		l.hook(k.peer.GetHostId(), false)
+	}
+	l.hook(k.peer.GetHostId(), true)
 	return l.pump(ctx, k)
 }
 
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -46,6 +46,7 @@
 type Linker struct {
 	self       *wire.Hello
 	handler    func(from string, frame *wire.Frame)
+	hook       func(hostID string, up bool)
 	tls        *tls.Config
 	clock      func() time.Time
 	limiter    Limiter
@@ -70,6 +71,7 @@
 	l := &Linker{
 		self:       proto.CloneOf(self),
 		clock:      time.Now,
+		hook:       func(string, bool) {},
 		logger:     zap.NewNop(),
 		silence:    defaultSilence,
 		queueLimit: defaultQueueLimit,
--- a/poplarhook/modules/linker/links.go
+++ b/poplarhook/modules/linker/links.go
@@ -53,22 +53,23 @@
 
 // register puts the link in use, or refuses it in favour of the one in use. Of two links to
 // one incarnation that were dialed from both ends, both ends keep the one that the host with
-// the lower id dialed.
-func (l *Linker) register(k *link) error {
+// the lower id dialed. It reports whether an earlier link was replaced.
+func (l *Linker) register(k *link) (replaced bool, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := k.peer.GetHostId()
 	old := l.links[id]
 	if old != nil && !l.replaces(k, old) {
-		return errors.Wrapf(ErrRefused, "second link to %s", id)
+		return false, errors.Wrapf(ErrRefused, "second link to %s", id)
 	}
 	l.links[id] = k
 	if old != nil {
+		old.replaced = true
 		old.close()
-		return nil
+		return true, nil
 	}
 	l.logger.Info("peer connected", zap.String("host_id", id))
-	return nil
+	return false, nil
 }
 
 func (l *Linker) replaces(k, old *link) bool {
@@ -82,8 +83,12 @@
 
 func (l *Linker) unregister(k *link) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.forget(k)
+	replaced := k.replaced
+	l.mu.Unlock()
+	if !replaced {
+		l.hook(k.peer.GetHostId(), false)
+	}
 }
 
 // forget takes the link out of use. The caller holds the lock.
--- a/poplarhook/modules/linker/options.go
+++ b/poplarhook/modules/linker/options.go
@@ -21,6 +21,11 @@
 	return func(l *Linker) { l.handler = handler }
 }
 
+// WithLinkHook sets what is called after a link to a host is made and after it is lost, each before a later frame of the host is handled.
+func WithLinkHook(hook func(hostID string, up bool)) Option {
+	return func(l *Linker) { l.hook = hook }
+}
+
 // WithTLS makes every link use mutual TLS with the given settings.
 func WithTLS(config *tls.Config) Option {
 	return func(l *Linker) { l.tls = config }
--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -1,6 +1,8 @@
 package arbiter
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -217,11 +219,26 @@
 	return e
 }
 
+// unlisted starts the id of an endpoint that another host knows only by its number.
+const unlisted = "#"
+
 // number stands for an endpoint between entry hosts.
 func number(endpoint string) uint32 {
+	if digits, isUnlisted := strings.CutPrefix(endpoint, unlisted); isUnlisted {
+		n, _ := strconv.ParseUint(digits, 10, 32)
+		return uint32(n)
+	}
 	return uint32(xxhash.Sum64String(endpoint))
 }
 
+// idOf returns the listed endpoint of the number, or an id that only gives the number back.
+func (a *Arbiter) idOf(number uint32) string {
+	if id, listed := a.byNumber[number]; listed {
+		return id
+	}
+	return unlisted + strconv.FormatUint(uint64(number), 10)
+}
+
 // limitOf is the most requests in flight at a warm endpoint: one more than its slots hides the way to it.
 func limitOf(h host.Host) int {
 	return max(h.Slots, 1) + 1
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -166,17 +166,52 @@
 
 // observe takes in what an exchange of this host showed.
 func (o *ownership) observe(now time.Time, endpoint string, cold bool, r report.Report) {
-	_, _, _, _ = now, endpoint, cold, r
+	w, listed := o.warmers[endpoint]
+	if !listed {
+		return
+	}
+	switch {
+	case r.Cancelled:
+	case r.Err != nil:
+		w.Reset(now)
+	default:
+		w.Answered(now, r.Incarnation, r.Cold, r.Leaving)
+	}
 }
 
+// see takes in what another host saw of an endpoint.
 func (o *ownership) see(now time.Time, s *wire.Sighting) {
-	_, _ = now, s
+	w, listed := o.warmers[s.GetEndpointId()]
+	if !listed {
+		return
+	}
+	switch {
+	case s.GetFailed():
+		w.Reset(now)
+	case s.GetLeaving():
+		w.Answered(now, s.GetIncarnation(), false, true)
+	default:
+		w.Answered(now, s.GetIncarnation(), s.GetCold(), false)
+	}
 }
 
 func (o *ownership) assumeWarm(now time.Time, endpoint, incarnation string) {
-	_, _, _ = now, endpoint, incarnation
+	if w, listed := o.warmers[endpoint]; listed {
+		w.AssumeWarm(now, incarnation)
+	}
 }
 
 func (o *ownership) setEndpoints(now time.Time, hosts []host.Host, zoneOut func(string) bool) {
-	_, _, _ = now, hosts, zoneOut
+	o.hosts = hosts
+	listed := make(map[string]*warmer.Warmer, len(hosts))
+	for _, h := range hosts {
+		w, known := o.warmers[h.ID]
+		if !known {
+			w = warmer.New()
+		}
+		w.Listed(now, h.Incarnation, h.IsLeaving())
+		w.SetZoneOut(now, zoneOut(h.AvailabilityZone))
+		listed[h.ID] = w
+	}
+	o.warmers = listed
 }
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -41,7 +41,7 @@
 	a.heardAt = now
 	granted := credit.Credit{
 		Borrower: a.self,
-		Endpoint: a.byNumber[c.GetEndpoint()],
+		Endpoint: a.idOf(c.GetEndpoint()),
 		Count:    int(c.GetCount()),
 		Sequence: c.GetSequence(),
 		Cold:     c.GetCold(),
@@ -102,7 +102,7 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
-	endpoint := a.byNumber[r.GetEndpoint()]
+	endpoint := a.idOf(r.GetEndpoint())
 	return a.deliver(now, a.owned.lender.Release(now, from, endpoint, int(r.GetCount())))
 }
 
--- /dev/null
+++ b/poplarhook/services/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry builds an entry host from its parts and runs it.
+package entry
--- /dev/null
+++ b/poplarhook/services/entry/entry.go
@@ -0,0 +1,194 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/lister"
+	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/lib/storer"
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/directory"
+	"poplarhook.example/poplarhook/models/member"
+	"poplarhook.example/poplarhook/models/roster"
+	"poplarhook.example/poplarhook/modules/linker"
+	"poplarhook.example/poplarhook/modules/meter"
+	"poplarhook.example/poplarhook/modules/settings"
+	"poplarhook.example/poplarhook/routers/caller"
+	"poplarhook.example/poplarhook/services/assigner"
+	"poplarhook.example/poplarhook/services/chooser"
+	"poplarhook.example/poplarhook/services/coordinator"
+	"poplarhook.example/poplarhook/services/dispatcher"
+	"poplarhook.example/poplarhook/services/heartbeater"
+	"poplarhook.example/poplarhook/services/locator"
+	"poplarhook.example/poplarhook/services/refresher"
+	"poplarhook.example/poplarhook/services/sender"
+)
+
+// Entry is one entry host.
+type Entry struct {
+	settings  settings.Settings
+	logger    *zap.Logger
+	clock     func() time.Time
+	startedAt time.Time
+	meter     *meter.Meter
+	listeners Listeners
+
+	places      *locator.Locator
+	store       *storer.Storer
+	hosts       *refresher.Refresher
+	sender      *sender.Sender
+	roster      *roster.Roster
+	links       *linker.Linker
+	heartbeats  *heartbeater.Heartbeater
+	assigner    *assigner.Assigner
+	coordinator *coordinator.Coordinator
+	dispatcher  *dispatcher.Dispatcher
+	callers     http.Handler
+	draining    atomic.Bool
+}
+
+// Listeners are where an entry host answers.
+type Listeners struct {
+	Callers net.Listener
+	Peers   net.Listener
+	Admin   net.Listener
+}
+
+// New returns an Entry by settings that have passed their check.
+func New(s settings.Settings, l Listeners, logger *zap.Logger) (*Entry, error) {
+	e := &Entry{
+		settings:  s,
+		logger:    logger,
+		clock:     time.Now,
+		startedAt: time.Now(),
+		meter:     meter.New("poplarhook"),
+		listeners: l,
+		places:    locator.New(s.Region),
+		store:     storer.New(s.StoreURL, storer.WithTimeout(s.StoreTimeout)),
+	}
+	e.hosts = refresher.New(lister.New(s.HostListURL), e.setDirectory,
+		refresher.WithWait(s.WatchWait), refresher.WithLogger(logger))
+	if err := e.buildPeers(); err != nil {
+		return nil, err
+	}
+	e.buildRequests()
+	return e, nil
+}
+
+// buildPeers joins this host with the other entry hosts.
+func (e *Entry) buildPeers() error {
+	s := e.settings
+	self := member.Member{
+		ID:               s.HostID,
+		Incarnation:      uuid.NewString(),
+		Region:           s.Region,
+		AvailabilityZone: s.AvailabilityZone,
+		PeerAddress:      e.listeners.Peers.Addr().String(),
+		AdminAddress:     e.listeners.Admin.Addr().String(),
+	}
+	e.roster = roster.New(e.startedAt, self, roster.WithTimeout(s.HeartbeatTimeout), roster.WithRemoteTimeout(remoteTimes*s.HeartbeatTimeout))
+	e.links = linker.New(&wire.Hello{
+		HostId:           self.ID,
+		Incarnation:      self.Incarnation,
+		Region:           self.Region,
+		AvailabilityZone: self.AvailabilityZone,
+		PeerAddress:      self.PeerAddress,
+		AdminAddress:     self.AdminAddress,
+	}, linker.WithHandler(e.handle), linker.WithLinkHook(e.linked), linker.WithLogger(e.logger))
+	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
+	e.assigner = assigner.New(e.roster, s.ColdShards)
+	return nil
+}
+
+// remoteTimes is how much longer a host of another region may be silent than one of the own.
+const remoteTimes = 3
+
+// buildRequests joins the parts that a request passes.
+func (e *Entry) buildRequests() {
+	s := e.settings
+	e.sender = sender.New(
+		sender.WithAges(s.ProofAge, s.ReuseAge),
+		sender.WithShare(func() int { return e.assigner.Sharers(e.clock()) }),
+		sender.WithLostHook(e.lost))
+	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.places, e.assigner, e.sender,
+		coordinator.WithOwnerTimeout(s.OwnerTimeout),
+		coordinator.WithOrphanFor(s.ColdDeadline),
+		coordinator.WithCounter(e.meter.Count))
+	e.dispatcher = e.newDispatcher()
+	e.callers = caller.New(e.places.Classifier, e.dispatcher,
+		caller.WithMaxBody(s.MaxBody), caller.WithCounter(e.meter.CountRequest))
+}
+
+func (e *Entry) newDispatcher() *dispatcher.Dispatcher {
+	options := []dispatcher.Option{dispatcher.WithCounter(e.meter.Count)}
+	switch e.settings.Policy {
+	case settings.PolicyTwoChoices:
+		return dispatcher.New(chooser.New(e.places), e.sender, e.places, options...)
+	case settings.PolicyRandom:
+		return dispatcher.New(chooser.New(e.places, chooser.WithChoices(1)), e.sender, e.places, options...)
+	default:
+		return dispatcher.New(e.coordinator, e.sender, e.places, options...)
+	}
+}
+
+// handle takes in a frame from another entry host.
+func (e *Entry) handle(from string, frame *wire.Frame) {
+	switch frame.GetBody().(type) {
+	case *wire.Frame_Heartbeat:
+		e.heartbeats.Handle(from, frame)
+	default:
+		e.coordinator.Receive(e.clock(), from, frame)
+	}
+}
+
+func (e *Entry) linked(peer string, up bool) {
+	if up {
+		e.coordinator.PeerUp(e.clock(), peer)
+		return
+	}
+	e.coordinator.PeerDown(e.clock(), peer)
+}
+
+// lost takes in that an endpoint closed a connection unasked.
+func (e *Entry) lost(address string) {
+	if h, listed := e.places.Directory().GetEndpointByAddress(address); listed {
+		e.coordinator.Lost(e.clock(), h)
+	}
+}
+
+func (e *Entry) setDirectory(d *directory.Directory) {
+	e.places.SetDirectory(d)
+	e.heartbeats.SetHosts(d.Entries())
+	e.sender.Retain(d.Endpoints())
+	e.coordinator.Update(e.clock())
+}
+
+func (e *Entry) setSnapshot(s snapshot.Snapshot) {
+	e.places.SetSnapshot(s)
+	e.roster.SetRevision(s.Revision)
+	e.coordinator.Update(e.clock())
+	e.logger.Info("configuration in force", zap.Int64("revision", s.Revision), zap.String("change_id", s.ChangeID))
+}
+
+// ready returns nil when the host may be given work, else what it lacks.
+func (e *Entry) ready() error {
+	_, configured := e.places.Snapshot()
+	switch {
+	case e.draining.Load():
+		return errDraining
+	case !configured:
+		return errNoConfiguration
+	case len(e.places.Groups()) == 0:
+		return errNoEndpoints
+	case e.settings.Policy == settings.PolicyOwner && !e.roster.Fresh(e.clock()):
+		return errAlone
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/poplarhook/services/entry/run.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"poplarhook.example/poplarhook/modules/server"
+)
+
+// Reasons for a host not to be ready.
+var (
+	errDraining        = errors.New("the host is stopping")
+	errNoConfiguration = errors.New("no configuration is in force yet")
+	errNoEndpoints     = errors.New("no endpoints are listed yet")
+	errAlone           = errors.New("the other entry hosts have not been heard yet")
+)
+
+// Run answers until the context ends and the running requests are done; the channel gives the end.
+func (e *Entry) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	// The parts that requests need outlive the callers' side.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	ends := []<-chan error{
+		e.hosts.Run(background),
+		e.links.Run(background, e.listeners.Peers),
+		e.heartbeats.Run(background),
+		e.coordinator.Run(background),
+		e.follow(background),
+		server.New(e.adminHandler()).Run(background, e.listeners.Admin),
+	}
+	callers, stopCallers := context.WithCancel(background)
+	s := e.settings
+	callerServer := server.New(e.callers,
+		server.WithMaxHeader(s.MaxHeader),
+		server.WithReadTimeout(s.ReadTimeout),
+		server.WithIdleTimeout(s.IdleTimeout),
+		server.WithDrainLimit(s.DrainLimit))
+	answered := callerServer.Run(callers, e.listeners.Callers)
+	go func() {
+		<-ctx.Done()
+		e.drain(callerServer)
+		stopCallers()
+		err := <-answered
+		stop()
+		for _, end := range ends {
+			if ended := <-end; err == nil {
+				err = ended
+			}
+		}
+		_ = e.meter.Close()
+		done <- err
+	}()
+	return done
+}
+
+// drain looks unready, gives ownership up and waits until the platform's balancer has noticed.
+func (e *Entry) drain(callers *server.Server) {
+	e.draining.Store(true)
+	e.logger.Info("stopping: no longer ready")
+	e.heartbeats.Leave()
+	callers.Announce()
+	time.Sleep(e.settings.DrainNotice)
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", e.meter.Handler())
+	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
--- a/poplarhook/services/locator/locator.go
+++ b/poplarhook/services/locator/locator.go
@@ -64,6 +64,22 @@
 	return l.planner.Plan(c, l.Directory().Regions())
 }
 
+// Endpoints returns the listed endpoints of a group.
+func (l *Locator) Endpoints(g group.Group) []host.Host {
+	return l.Directory().GetEndpointsByGroup(g)
+}
+
+// Groups returns every group that has listed endpoints.
+func (l *Locator) Groups() []group.Group {
+	return l.Directory().Groups()
+}
+
+// IsZoneOut reports whether operators have taken the availability zone out.
+func (l *Locator) IsZoneOut(zone string) bool {
+	s, _ := l.Snapshot()
+	return s.IsZoneOut(zone)
+}
+
 // OpenEndpoints returns the endpoints of a group that are neither leaving nor in a zone taken out.
 func (l *Locator) OpenEndpoints(_ time.Time, g group.Group) []host.Host {
 	s, _ := l.Snapshot()
