--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -163,18 +163,13 @@
 	return ids
 }
 
-// Greetings returns what the hosts with a link said of themselves, sorted by host id.
-func (l *Linker) Greetings() []*wire.Hello {
-	ids := l.Connected()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	greetings := make([]*wire.Hello, 0, len(ids))
-	for _, id := range ids {
-		if k, ok := l.links[id]; ok {
-			greetings = append(greetings, k.peer)
-		}
+// Greeting returns what the host said of itself when the link was made, nil without a link.
+func (l *Linker) Greeting(hostID string) *wire.Hello {
+	k := l.find(hostID)
+	if k == nil {
+		return nil
 	}
-	return greetings
+	return k.peer
 }
 
 // Counts returns a reading of the counters.
