Name the list of peers after what it holds

Cause: another package is called directory and means endpoints. Change: models/directory becomes models/peerlist. Conclusion: no change in what it does.

--- a/poplarhook/models/directory/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package directory merges the platform's host list and what peers say into the hosts to link to.
-package directory
--- a/poplarhook/models/directory/directory_test.go
+++ b/poplarhook/models/peerlist/peerlist_test.go
@@ -1,4 +1,4 @@
-package directory_test
+package peerlist_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"poplarhook.example/lib/host"
-	"poplarhook.example/poplarhook/models/directory"
+	"poplarhook.example/poplarhook/models/peerlist"
 )
 
 func entry(id, address string) host.Host {
@@ -16,15 +16,15 @@
 func TestListGoesBeforeMentionsAndMentionsExpire(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
-	d := directory.New("a")
+	l := peerlist.New("a")
 	endpoint := host.Host{ID: "e", Role: host.RoleEndpoint, PeerAddress: "10.0.0.9:1"}
-	gone := d.SetList([]host.Host{entry("a", "10.0.0.1:1"), entry("b", "10.0.0.2:1"), endpoint, entry("x", "")})
+	gone := l.SetList([]host.Host{entry("a", "10.0.0.1:1"), entry("b", "10.0.0.2:1"), endpoint, entry("x", "")})
 	c.Check(gone, qt.HasLen, 0)
-	d.Mention(now, entry("b", "10.0.0.7:1"))
-	d.Mention(now, entry("c", "10.0.0.3:1"))
-	d.Mention(now, entry("a", "10.0.0.8:1"))
-	c.Check(d.Peers(now), qt.DeepEquals, []host.Host{entry("b", "10.0.0.2:1"), entry("c", "10.0.0.3:1")})
-	c.Check(d.SetList(nil), qt.DeepEquals, []string{"b"})
-	c.Check(d.Peers(now), qt.HasLen, 2)
-	c.Check(d.Peers(now.Add(time.Minute)), qt.HasLen, 0)
+	l.Mention(now, entry("b", "10.0.0.7:1"))
+	l.Mention(now, entry("c", "10.0.0.3:1"))
+	l.Mention(now, entry("a", "10.0.0.8:1"))
+	c.Check(l.Peers(now), qt.DeepEquals, []host.Host{entry("b", "10.0.0.2:1"), entry("c", "10.0.0.3:1")})
+	c.Check(l.SetList(nil), qt.DeepEquals, []string{"b"})
+	c.Check(l.Peers(now), qt.HasLen, 2)
+	c.Check(l.Peers(now.Add(time.Minute)), qt.HasLen, 0)
 }
--- a/poplarhook/services/heartbeater/heartbeater.go
+++ b/poplarhook/services/heartbeater/heartbeater.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
-	"poplarhook.example/poplarhook/models/directory"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/pacer"
+	"poplarhook.example/poplarhook/models/peerlist"
 	"poplarhook.example/poplarhook/models/roster"
 )
 
@@ -46,11 +46,11 @@
 
 // Heartbeater keeps the roster and the peers of the links up to date.
 type Heartbeater struct {
-	roster    *roster.Roster
-	links     Links
-	directory *directory.Directory
-	clock     func() time.Time
-	logger    *zap.Logger
+	roster   *roster.Roster
+	links    Links
+	peerlist *peerlist.Peerlist
+	clock    func() time.Time
+	logger   *zap.Logger
 
 	mu    sync.Mutex
 	pacer *pacer.Pacer
@@ -62,13 +62,13 @@
 func New(r *roster.Roster, links Links, options ...Option) *Heartbeater {
 	self := r.Self()
 	h := &Heartbeater{
-		roster:    r,
-		links:     links,
-		directory: directory.New(self.ID),
-		clock:     time.Now,
-		logger:    zap.NewNop(),
-		pacer:     pacer.New(self),
-		live:      []string{self.ID},
+		roster:   r,
+		links:    links,
+		peerlist: peerlist.New(self.ID),
+		clock:    time.Now,
+		logger:   zap.NewNop(),
+		pacer:    pacer.New(self),
+		live:     []string{self.ID},
 	}
 	for _, option := range options {
 		option(h)
@@ -99,7 +99,7 @@
 // SetHosts takes over the platform's host list.
 func (h *Heartbeater) SetHosts(hosts []host.Host) {
 	connected := h.links.Connected()
-	for _, id := range h.directory.SetList(hosts) {
+	for _, id := range h.peerlist.SetList(hosts) {
 		if !slices.Contains(connected, id) {
 			h.roster.Forget(id)
 		}
@@ -114,10 +114,10 @@
 	}
 	now := h.clock()
 	m := memberOf(greeting)
-	h.directory.Mention(now, hostOf(m))
+	h.peerlist.Mention(now, hostOf(m))
 	h.roster.Hear(now, m, beat.GetRevision(), beat.GetLeaving())
 	for _, named := range beat.GetMembers() {
-		h.directory.Mention(now, namedHost(named))
+		h.peerlist.Mention(now, namedHost(named))
 	}
 }
 
@@ -150,7 +150,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.noteChanges(now)
-	peers := h.directory.Peers(now)
+	peers := h.peerlist.Peers(now)
 	if !slices.Equal(peers, h.peers) {
 		h.peers = peers
 		h.links.SetPeers(peers)
