--- a/lib/publisher/attempt.go
+++ b/lib/publisher/attempt.go
@@ -146,9 +146,7 @@
 	if err != nil {
 		return a.wait(ctx, err)
 	}
-	snap.Documents = slices.DeleteFunc(snap.Documents, func(d document.Document) bool { return d.Team == doc.Team })
-	snap.Documents = append(snap.Documents, doc)
-	return a.publisher.validator.Snapshot(snap)
+	return a.publisher.validator.Snapshot(with(snap, doc))
 }
 
 // update makes the one conditional write that is the moment of acceptance.
--- a/lib/publisher/publisher.go
+++ b/lib/publisher/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"regexp"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,6 +108,18 @@
 	return a.run(ctx)
 }
 
+// Check returns what would refuse the document beside the others in force, and changes nothing.
+func (p *Publisher) Check(ctx context.Context, doc document.Document) error {
+	if err := p.validator.Document(doc); err != nil {
+		return err
+	}
+	snap, err := p.Snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	return p.validator.Snapshot(with(snap, doc))
+}
+
 // Index returns the index that is in force and the version of its object, zero before the first change.
 func (p *Publisher) Index(ctx context.Context) (index.Index, int64, error) {
 	found, err := p.store.Get(ctx, index.Key)
@@ -153,6 +166,14 @@
 	return nil
 }
 
+// with returns a snapshot in which the team's document is the given one.
+func with(snap snapshot.Snapshot, doc document.Document) snapshot.Snapshot {
+	documents := slices.DeleteFunc(slices.Clone(snap.Documents), func(d document.Document) bool { return d.Team == doc.Team })
+	documents = append(documents, doc)
+	snap.Documents = documents
+	return snap
+}
+
 // unavailable hides every fault of the store but one that waiting does not mend.
 func unavailable(err error) error {
 	if err == nil || errors.Is(err, assembler.ErrCorrupt) {
--- /dev/null
+++ b/lib/status/status.go
@@ -0,0 +1,66 @@
+package status
+
+// States of entry hosts and of endpoints.
+const (
+	HostLive    = "live"
+	HostLeaving = "leaving"
+	HostSilent  = "silent"
+
+	EndpointWarm    = "warm"
+	EndpointCold    = "cold"
+	EndpointLeaving = "leaving"
+	EndpointOut     = "out"
+	EndpointFailed  = "failed"
+)
+
+// Status is what the entry host that answers knows, which may lag.
+type Status struct {
+	HostID    string     `json:"host_id"`
+	Revision  int64      `json:"revision"`
+	Hosts     []Host     `json:"hosts"`
+	Endpoints []Endpoint `json:"endpoints"`
+	Calls     Calls      `json:"store_calls"`
+}
+
+// Host is an entry host, the one that answers included, and the revision it runs.
+type Host struct {
+	ID               string `json:"id"`
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availability_zone"`
+	AdminAddress     string `json:"admin_address"`
+	Revision         int64  `json:"revision"`
+	State            string `json:"state"`
+}
+
+// Endpoint is an endpoint with its state and why it is in it.
+type Endpoint struct {
+	ID               string `json:"id"`
+	Service          string `json:"service"`
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availability_zone"`
+	State            string `json:"state"`
+	Reason           string `json:"reason,omitempty"`
+}
+
+// Calls counts the calls of the answering host to the platform's store since its start.
+type Calls struct {
+	Reads   int64 `json:"reads"`
+	Writes  int64 `json:"writes"`
+	Watches int64 `json:"watches"`
+}
+
+// Runs reports whether every live entry host runs the revision or a later one;
+// without any live host it does not.
+func (s Status) Runs(revision int64) bool {
+	live := 0
+	for _, host := range s.Hosts {
+		if host.State != HostLive {
+			continue
+		}
+		if host.Revision < revision {
+			return false
+		}
+		live++
+	}
+	return live > 0
+}
--- /dev/null
+++ b/lib/zone/doc.go
@@ -0,0 +1,2 @@
+// Package zone holds one availability zone as operators see it.
+package zone
--- /dev/null
+++ b/poplarhook/routers/administrator/doc.go
@@ -0,0 +1,2 @@
+// Package administrator answers the operators' side of an entry host.
+package administrator
