--- a/poplarhook/routers/administrator/administrator_test.go
+++ b/poplarhook/routers/administrator/administrator_test.go
@@ -98,7 +98,11 @@
 	qt.Assert(f, json.Unmarshal(w.Body.Bytes(), into), qt.IsNil)
 }
 
-func (f *fixture) refused(w *httptest.ResponseRecorder, status int, code string) problem.Problem {
+func (f *fixture) refused(w *httptest.ResponseRecorder, status int, code string) {
+	_ = f.problem(w, status, code)
+}
+
+func (f *fixture) problem(w *httptest.ResponseRecorder, status int, code string) problem.Problem {
 	var p problem.Problem
 	qt.Assert(f, json.Unmarshal(w.Body.Bytes(), &p), qt.IsNil, qt.Commentf("%s", w.Body))
 	qt.Assert(f, w.Code, qt.Equals, status, qt.Commentf("%s", w.Body))
@@ -146,7 +150,7 @@
 			{Name: "bamberg", Region: "franken"}, {Name: "fuerth", Region: "franken", Out: method == "PUT"},
 		})
 	}
-	p := f.refused(f.call("operators", "PUT", "/v1/zones-out/furth?change_id=change-0002", ""), 422, problem.CodeInvalid)
+	p := f.problem(f.call("operators", "PUT", "/v1/zones-out/furth?change_id=change-0002", ""), 422, problem.CodeInvalid)
 	qt.Assert(t, p.Violations, qt.DeepEquals, []violation.Violation{{Field: "zone", Value: "furth", Allowed: "one of fuerth, bamberg"}})
 }
 
@@ -241,7 +245,7 @@
 	)
 	qt.Assert(t, f.call("", "GET", "/readyz", "").Code, qt.Equals, 200)
 	failure = errors.New("no configuration yet")
-	qt.Assert(t, f.refused(f.call("", "GET", "/readyz", ""), 503, problem.CodeUnavailable).Detail, qt.Equals, "no configuration yet")
+	qt.Assert(t, f.problem(f.call("", "GET", "/readyz", ""), 503, problem.CodeUnavailable).Detail, qt.Equals, "no configuration yet")
 	f.refused(f.call("", "GET", "/livez", ""), 503, problem.CodeUnavailable)
 	qt.Assert(t, f.call("", "GET", "/metrics", "").Body.String(), qt.Equals, "metric 1")
 	qt.Assert(t, f.call("operators", "GET", "/debug/state", "").Body.String(), qt.Equals, "{\"open_links\":3}\n")
