Add poplarctl

Cause: operators had an administration API and no command for it. Change: config check, apply, show, diff and history, zone out, in and list, status and dump, with tables or JSON. A change carries an id chosen here, so that a lost reply is settled by asking again with it, at any entry host; only a conflict, which holds for every attempt, or an answer ends it. Refused is exit code 1, wrong usage 2, an unknown outcome 3, a wait that ended early 4. A bare dash made the flag library panic, so it stands for standard input before it gets there; other panics of it become wrong usage. Proved: replies lost twice by a fake entry host end with the one accepted change for apply, out and in. Conclusion: an answer of the command is true or says that it is unknown.

--- /dev/null
+++ b/poplarctl/cmd/config_show.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v3"
+
+	"poplarhook.example/lib/document"
+	"poplarhook.example/lib/snapshot"
+)
+
+func newConfigShow(s *shared) subcommand {
+	parsed := flaggy.NewSubcommand("show")
+	parsed.Description = "show the accepted configuration that the token may read"
+	var team string
+	var asYAML bool
+	parsed.String(&team, "", "team", "only the document of this team")
+	parsed.Bool(&asYAML, "", "yaml", "write the documents as config apply reads them")
+	return subcommand{parsed: parsed, run: func(ctx context.Context) error {
+		var snap snapshot.Snapshot
+		if _, err := s.requester().Read(ctx, "/v1/config", &snap); err != nil {
+			return err
+		}
+		if team != "" {
+			snap.Documents = slices.DeleteFunc(snap.Documents, func(d document.Document) bool { return d.Team != team })
+		}
+		if asYAML {
+			return s.writeYAML(snap.Documents)
+		}
+		line := fmt.Sprintf("revision %d (change %s), zones out: %s", snap.Revision, snap.ChangeID, listed(snap.ZonesOut, "none"))
+		return s.printer().Value(snap, line, classTable(snap.Documents)...)
+	}}
+}
+
+func (s *shared) writeYAML(docs []document.Document) error {
+	encoder := yaml.NewEncoder(s.out)
+	for _, doc := range docs {
+		if err := encoder.Encode(doc); err != nil {
+			return errors.Wrap(err, "writing the document")
+		}
+	}
+	return errors.Wrap(encoder.Close(), "writing the documents")
+}
+
+func classTable(docs []document.Document) [][]string {
+	rows := [][]string{{
+		"TEAM", "CLASS", "SERVICE", "HOSTS", "METHODS", "PATH_PREFIX", "EXECUTION", "TARGET_MS", "DEADLINE_MS", "HOME_REGIONS", "SPILL", "URGENCY",
+	}}
+	for _, doc := range docs {
+		for _, c := range doc.Classes {
+			rows = append(rows, []string{
+				doc.Team, c.Name, c.Service, listed(c.Hosts, "any"), listed(c.Methods, ""), c.PathPrefix, c.Execution,
+				strconv.FormatInt(c.LatencyTargetMS, 10), strconv.FormatInt(c.DeadlineMS, 10), listed(c.HomeRegions, "any"), c.Spill, c.Urgency,
+			})
+		}
+	}
+	return rows
+}
+
+func listed(values []string, none string) string {
+	if len(values) == 0 {
+		return none
+	}
+	return strings.Join(values, ",")
+}
--- a/poplarctl/doc.go
+++ b/poplarctl/doc.go
@@ -1,2 +1,2 @@
-// Command poplarctl is a program of poplarhook.
+// Command poplarctl is the operators' command: configuration, availability zones, status and dumps.
 package main
--- /dev/null
+++ b/poplarctl/modules/requester/doc.go
@@ -0,0 +1,2 @@
+// Package requester speaks to the administration API of entry hosts.
+package requester
--- /dev/null
+++ b/poplarctl/services/awaiter/doc.go
@@ -0,0 +1,2 @@
+// Package awaiter waits until the entry hosts run a revision.
+package awaiter
--- /dev/null
+++ b/poplarctl/services/settler/doc.go
@@ -0,0 +1,2 @@
+// Package settler gets a change to an outcome that is known to be true.
+package settler
--- /dev/null
+++ b/poplarctl/services/settler/settler.go
@@ -0,0 +1,136 @@
+package settler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/index"
+	"poplarhook.example/lib/problem"
+	"poplarhook.example/poplarctl/modules/requester"
+)
+
+var (
+	// ErrNotAccepted means that the change was not accepted in time, and will not be.
+	ErrNotAccepted = errors.New("not accepted")
+	// ErrUnknownOutcome means that the change may have been accepted; asking with its id tells later.
+	ErrUnknownOutcome = errors.New("outcome unknown, ask again with the same change id")
+)
+
+const (
+	shortestPause = 100 * time.Millisecond
+	longestPause  = 2 * time.Second
+)
+
+// Sender makes one attempt at one entry host.
+type Sender interface {
+	Admins() []string
+	Send(ctx context.Context, admin string, request requester.Request, into any) (int64, error)
+}
+
+// Settler repeats a change, which its id makes idempotent, until its outcome is known.
+type Settler struct {
+	sender Sender
+	pause  func(ctx context.Context, wait time.Duration) error
+}
+
+// Option changes how a Settler is built.
+type Option func(*Settler)
+
+// WithPause sets how the settler waits between two rounds over the entry hosts.
+func WithPause(pause func(ctx context.Context, wait time.Duration) error) Option {
+	return func(s *Settler) { s.pause = pause }
+}
+
+// New returns a settler.
+func New(sender Sender, options ...Option) *Settler {
+	s := &Settler{sender: sender, pause: pause}
+	for _, option := range options {
+		option(s)
+	}
+	return s
+}
+
+// Settle sends a change to the entry hosts in turn until one answers for good
+// or the context ends. The error is a problem.Problem for a refusal,
+// ErrNotAccepted or ErrUnknownOutcome.
+func (s *Settler) Settle(ctx context.Context, request requester.Request) (index.Change, error) {
+	if len(s.sender.Admins()) == 0 {
+		return index.Change{}, requester.ErrNoAdmin
+	}
+	c := course{sender: s.sender, request: request}
+	for wait := shortestPause; ; wait = min(2*wait, longestPause) {
+		if change, done, err := c.round(ctx); done {
+			return change, err
+		}
+		if err := s.pause(ctx, wait); err != nil {
+			return index.Change{}, c.outOfTime()
+		}
+	}
+}
+
+// course is what has been learned of one change.
+type course struct {
+	sender  Sender
+	request requester.Request
+	// ambiguous is set once an attempt may have been accepted without its answer arriving.
+	ambiguous bool
+	last      error
+}
+
+func (c *course) round(ctx context.Context) (index.Change, bool, error) {
+	for _, admin := range c.sender.Admins() {
+		var change index.Change
+		_, err := c.sender.Send(ctx, admin, c.request, &change)
+		if err == nil {
+			return change, true, nil
+		}
+		if final := c.learn(err); final != nil {
+			return index.Change{}, true, final
+		}
+		if ctx.Err() != nil {
+			return index.Change{}, true, c.outOfTime()
+		}
+	}
+	return index.Change{}, false, nil
+}
+
+// learn notes a failed attempt and returns the error that ends the course, if it does.
+func (c *course) learn(err error) error {
+	c.last = err
+	var p problem.Problem
+	switch {
+	case errors.Is(err, requester.ErrNotSent):
+		return nil
+	case !errors.As(err, &p) || p.Code == problem.CodeUnknownOutcome || p.Code == problem.CodeInternal:
+		c.ambiguous = true
+		return nil
+	case p.Code == problem.CodeUnavailable:
+		return nil
+	case p.Code == problem.CodeConflict || p.Code == problem.CodeChangeIDUsed:
+		// These hold for every earlier attempt with the same id and base as well.
+		return err
+	case c.ambiguous:
+		return errors.Wrapf(ErrUnknownOutcome, "an attempt went unanswered, a later one was refused: %v", err)
+	}
+	return err
+}
+
+func (c *course) outOfTime() error {
+	if c.ambiguous {
+		return errors.Wrapf(ErrUnknownOutcome, "%v", c.last)
+	}
+	return errors.Wrapf(ErrNotAccepted, "%v", c.last)
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
