Give the entry host its operators' side, budgets and control limit

Cause: the parts stood beside each other. Change: the administration API, state dump and status; hedge and retry allowances; a governor that turns the hold by the control budget. Conclusion: builds; the cold right is a stand-in until the lease lands.

--- a/poplarhook/models/directory/directory.go
+++ b/poplarhook/models/directory/directory.go
@@ -10,10 +10,10 @@
 
 // Directory is an immutable arrangement of the hosts that the platform lists.
 type Directory struct {
-	version int64
-	entries []host.Host
-	groups  map[group.Group][]host.Host
-	regions []string
+	version   int64
+	entries   []host.Host
+	groups    map[group.Group][]host.Host
+	regions   []string
 	byAddress map[string]host.Host
 }
 
--- /dev/null
+++ b/poplarhook/services/allowance/doc.go
@@ -0,0 +1,2 @@
+// Package allowance shares one budget of second tries among concurrent requests.
+package allowance
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -52,6 +52,7 @@
 	ownerTimeout time.Duration
 	orphanFor    time.Duration
 	count        func(event string)
+	coldRight    func(now time.Time, g group.Group, wanted bool) (until time.Time)
 	lastID       atomic.Uint64
 
 	mu       sync.RWMutex
@@ -83,6 +84,13 @@
 	return func(c *Coordinator) { c.count = count }
 }
 
+// WithColdRight sets what tells until when this host may give work to the cold endpoints of a group that it owns.
+//
+// It is asked often, and told whether the group has cold endpoints.
+func WithColdRight(right func(now time.Time, g group.Group, wanted bool) (until time.Time)) Option {
+	return func(c *Coordinator) { c.coldRight = right }
+}
+
 const (
 	defaultOwnerTimeout = 25 * time.Millisecond
 	defaultOrphanFor    = 2 * time.Second
@@ -102,6 +110,7 @@
 		ownerTimeout: defaultOwnerTimeout,
 		orphanFor:    defaultOrphanFor,
 		count:        func(string) {},
+		coldRight:    func(time.Time, group.Group, bool) time.Time { return time.Time{} },
 		cells:        make(map[group.Group]*cell),
 		byNumber:     make(map[uint32]group.Group),
 		hold:         defaultHold,
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/services/arbiter"
 )
 
 const (
@@ -97,10 +100,31 @@
 		}
 		now := c.clock()
 		sweep := n%sweepEvery == 0
-		c.each(func(_ group.Group, in *cell) {
+		c.each(func(g group.Group, in *cell) {
 			if sweep || in.arbiter.IsBusy() {
-				c.perform(now, in, in.arbiter.Tick(now))
+				c.visit(now, g, in)
 			}
 		})
 	}
 }
+
+// visit does what the passing of time calls for in a locked cell.
+func (c *Coordinator) visit(now time.Time, g group.Group, in *cell) {
+	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
+		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
+	}
+	if in.arbiter.IsOwner() {
+		until := c.coldRight(now, g, in.arbiter.HasCold(now))
+		c.perform(now, in, in.arbiter.AllowCold(now, until))
+	}
+	c.perform(now, in, in.arbiter.Tick(now))
+}
+
+// States returns the state of every group, for dumps.
+func (c *Coordinator) States() []arbiter.State {
+	now := c.clock()
+	var states []arbiter.State
+	c.each(func(_ group.Group, in *cell) { states = append(states, in.arbiter.State(now)) })
+	slices.SortFunc(states, func(a, b arbiter.State) int { return strings.Compare(a.Group, b.Group) })
+	return states
+}
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -14,16 +14,20 @@
 	"poplarhook.example/lib/storer"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/directory"
+	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/roster"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/routers/caller"
+	"poplarhook.example/poplarhook/services/allowance"
 	"poplarhook.example/poplarhook/services/assigner"
 	"poplarhook.example/poplarhook/services/chooser"
 	"poplarhook.example/poplarhook/services/coordinator"
+	"poplarhook.example/poplarhook/services/delayer"
 	"poplarhook.example/poplarhook/services/dispatcher"
+	"poplarhook.example/poplarhook/services/governor"
 	"poplarhook.example/poplarhook/services/heartbeater"
 	"poplarhook.example/poplarhook/services/locator"
 	"poplarhook.example/poplarhook/services/refresher"
@@ -48,8 +52,10 @@
 	heartbeats  *heartbeater.Heartbeater
 	assigner    *assigner.Assigner
 	coordinator *coordinator.Coordinator
+	governor    *governor.Governor
 	dispatcher  *dispatcher.Dispatcher
 	callers     http.Handler
+	admin       http.Handler
 	draining    atomic.Bool
 }
 
@@ -74,15 +80,19 @@
 	}
 	e.hosts = refresher.New(lister.New(s.HostListURL), e.setDirectory,
 		refresher.WithWait(s.WatchWait), refresher.WithLogger(logger))
-	if err := e.buildPeers(); err != nil {
+	e.governor = governor.New(e.clock, s.ControlBudget, s.HoldMax, func(hold time.Duration) { e.coordinator.SetHold(hold) })
+	e.buildPeers()
+	e.buildRequests()
+	admin, err := e.newAdministrator()
+	if err != nil {
 		return nil, err
 	}
-	e.buildRequests()
+	e.admin = admin
 	return e, nil
 }
 
 // buildPeers joins this host with the other entry hosts.
-func (e *Entry) buildPeers() error {
+func (e *Entry) buildPeers() {
 	s := e.settings
 	self := member.Member{
 		ID:               s.HostID,
@@ -100,10 +110,9 @@
 		AvailabilityZone: self.AvailabilityZone,
 		PeerAddress:      self.PeerAddress,
 		AdminAddress:     self.AdminAddress,
-	}, linker.WithHandler(e.handle), linker.WithLinkHook(e.linked), linker.WithLogger(e.logger))
+	}, linker.WithHandler(e.handle), linker.WithLinkHook(e.linked), linker.WithLogger(e.logger), linker.WithLimiter(e.governor))
 	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
-	return nil
 }
 
 // remoteTimes is how much longer a host of another region may be silent than one of the own.
@@ -119,6 +128,7 @@
 	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.places, e.assigner, e.sender,
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
 		coordinator.WithOrphanFor(s.ColdDeadline),
+		coordinator.WithColdRight(func(now time.Time, _ group.Group, _ bool) time.Time { return now.Add(time.Second) }),
 		coordinator.WithCounter(e.meter.Count))
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
@@ -133,6 +143,9 @@
 	case settings.PolicyRandom:
 		return dispatcher.New(chooser.New(e.places, chooser.WithChoices(1)), e.sender, e.places, options...)
 	default:
+		options = append(options,
+			dispatcher.WithHedges(delayer.New(), allowance.New(e.settings.HedgeShare)),
+			dispatcher.WithRetries(allowance.New(e.settings.RetryShare)))
 		return dispatcher.New(e.coordinator, e.sender, e.places, options...)
 	}
 }
--- a/poplarhook/services/entry/run.go
+++ b/poplarhook/services/entry/run.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
 	"poplarhook.example/poplarhook/modules/server"
@@ -29,8 +27,9 @@
 		e.links.Run(background, e.listeners.Peers),
 		e.heartbeats.Run(background),
 		e.coordinator.Run(background),
+		e.governor.Run(background),
 		e.follow(background),
-		server.New(e.adminHandler()).Run(background, e.listeners.Admin),
+		server.New(e.admin).Run(background, e.listeners.Admin),
 	}
 	callers, stopCallers := context.WithCancel(background)
 	s := e.settings
@@ -65,14 +64,3 @@
 	callers.Announce()
 	time.Sleep(e.settings.DrainNotice)
 }
-
-func (e *Entry) adminHandler() http.Handler {
-	router := mux.NewRouter()
-	router.Handle("/metrics", e.meter.Handler())
-	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if err := e.ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		}
-	})
-	return router
-}
--- /dev/null
+++ b/poplarhook/services/governor/doc.go
@@ -0,0 +1,2 @@
+// Package governor keeps what a host sends for control within its budget.
+package governor
