--- a/lib/validator/document.go
+++ b/lib/validator/document.go
@@ -10,6 +10,9 @@
 
 func (v Validator) document(f *findings, doc document.Document) {
 	f.name("team", doc.Team)
+	if doc.Team == ReservedTeam {
+		f.refuse("team", doc.Team, "any other name, as the operators have no document")
+	}
 	f.atMost("classes", len(doc.Classes), MaxClasses)
 	seen := map[string]bool{}
 	for i, c := range doc.Classes {
--- a/lib/validator/validator.go
+++ b/lib/validator/validator.go
@@ -22,6 +22,9 @@
 	maxHostNameBytes = 253
 )
 
+// ReservedTeam is the team of the operators, which declares no classes.
+const ReservedTeam = "operators"
+
 // ErrInvalid is what a refused document or snapshot returns.
 var ErrInvalid = violation.ErrInvalid
 
--- a/lib/validator/validator_test.go
+++ b/lib/validator/validator_test.go
@@ -75,9 +75,12 @@
 	two.PathPrefix = "/stock/deep"
 	qt.Assert(t, v.Document(document.Document{Team: "shop", Classes: []class.Class{lookup(), two}}), qt.IsNil)
 
+	err := v.Document(document.Document{Team: validator.ReservedTeam})
+	qt.Assert(t, err, qt.ErrorMatches, `team: "operators" is not allowed: .*`)
+
 	twin := lookup()
 	twin.Name, twin.Methods = "twin", []string{"HEAD", "GET"}
-	err := v.Document(document.Document{Team: "shop", Classes: []class.Class{lookup(), twin}})
+	err = v.Document(document.Document{Team: "shop", Classes: []class.Class{lookup(), twin}})
 	qt.Assert(t, err, qt.ErrorMatches, `classes\[1\].path_prefix: "/stock" is not allowed: a match that class stock_lookups does not have.*`)
 	err = v.Document(document.Document{Team: "Shop", Classes: []class.Class{lookup(), lookup()}})
 	qt.Assert(t, err, qt.ErrorMatches, `(?s)team: "Shop" .*classes\[1\].name: "stock_lookups" is not allowed: each value once`)
