Answer operators truly when time runs short

Cause: a test of poplarctl, the API, the publisher and a store that was down saw 'outcome unknown' where nothing had been accepted: the command cut its last attempt short at its own time limit. Conclusion: code 3 is left for what is unknown.

--- a/poplarctl/cmd/change.go
+++ b/poplarctl/cmd/change.go
@@ -41,7 +41,7 @@
 	}
 	request.Path += "?change_id=" + url.QueryEscape(c.id)
 	sender := c.shared.requester()
-	accepted, err := settler.New(sender).Settle(ctx, request)
+	accepted, err := settler.New(sender, c.shared.clock).Settle(ctx, request)
 	if err != nil {
 		return errors.Wrapf(err, "change %s", c.id)
 	}
--- a/poplarctl/cmd/dump.go
+++ b/poplarctl/cmd/dump.go
@@ -25,7 +25,7 @@
 			if err != nil {
 				return err
 			}
-			from = requester.New([]string{"http://" + address}, s.Token)
+			from = requester.New([]string{"http://" + address}, s.Token, s.clock)
 		}
 		var state json.RawMessage
 		if _, err := from.Read(ctx, "/debug/state", &state); err != nil {
--- a/poplarctl/cmd/root.go
+++ b/poplarctl/cmd/root.go
@@ -153,7 +153,7 @@
 }
 
 func (s *shared) requester() *requester.Requester {
-	return requester.New(s.admin, s.Token)
+	return requester.New(s.admin, s.Token, s.clock)
 }
 
 func (s *shared) printer() printer.Printer {
--- a/poplarctl/modules/requester/requester.go
+++ b/poplarctl/modules/requester/requester.go
@@ -28,12 +28,15 @@
 const (
 	defaultAttemptTimeout = 12 * time.Second
 	maxAnswer             = 64 << 20
+	// answerMargin is left for an answer to arrive.
+	answerMargin = 500 * time.Millisecond
 )
 
 // Requester is a client of several entry hosts that answer alike.
 type Requester struct {
 	admins  []string
 	token   string
+	clock   func() time.Time
 	timeout time.Duration
 	client  *http.Client
 }
@@ -47,8 +50,8 @@
 }
 
 // New returns a requester for base URLs such as http://127.0.0.1:8082; it shows the token to nobody else.
-func New(admins []string, token string, options ...Option) *Requester {
-	r := &Requester{token: token, timeout: defaultAttemptTimeout}
+func New(admins []string, token string, clock func() time.Time, options ...Option) *Requester {
+	r := &Requester{token: token, clock: clock, timeout: defaultAttemptTimeout}
 	for _, admin := range admins {
 		r.admins = append(r.admins, strings.TrimSuffix(admin, "/"))
 	}
@@ -136,12 +139,24 @@
 	if r.token != "" {
 		sent.Header.Set("Authorization", "Bearer "+r.token)
 	}
+	if seconds := r.secondsLeft(ctx); seconds > 0 && request.Method != http.MethodGet {
+		sent.Header.Set("Prefer", "wait="+strconv.Itoa(seconds))
+	}
 	if request.Base != nil {
 		sent.Header.Set("If-Match", strconv.Quote(strconv.FormatInt(*request.Base, 10)))
 	}
 	return sent, nil
 }
 
+// secondsLeft returns the whole seconds in which an entry host should answer (RFC 7240), zero without a limit.
+func (r *Requester) secondsLeft(ctx context.Context) int {
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		return 0
+	}
+	return int((deadline.Sub(r.clock()) - answerMargin).Seconds())
+}
+
 func failure(admin string, err error) error {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
--- a/poplarctl/modules/requester/requester_test.go
+++ b/poplarctl/modules/requester/requester_test.go
@@ -43,15 +43,15 @@
 	})
 	for _, bad := range []string{gone(), broken, refusing(t, 503, problem.CodeUnavailable)} {
 		var s status.Status
-		revision, err := requester.New([]string{bad, good + "/"}, "secret-token").Read(t.Context(), "/v1/status", &s)
+		revision, err := requester.New([]string{bad, good + "/"}, "secret-token", time.Now).Read(t.Context(), "/v1/status", &s)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, s.HostID, qt.Equals, "entry-1")
 		qt.Assert(t, revision, qt.Equals, int64(7))
 	}
 	var p problem.Problem
-	_, err := requester.New([]string{refusing(t, 403, problem.CodeForbidden), good}, "").Read(t.Context(), "/v1/status", nil)
+	_, err := requester.New([]string{refusing(t, 403, problem.CodeForbidden), good}, "", time.Now).Read(t.Context(), "/v1/status", nil)
 	qt.Assert(t, errors.As(err, &p), qt.IsTrue)
-	_, err = requester.New(nil, "").Read(t.Context(), "/v1/status", nil)
+	_, err = requester.New(nil, "", time.Now).Read(t.Context(), "/v1/status", nil)
 	qt.Assert(t, err, qt.ErrorIs, requester.ErrNoAdmin)
 }
 
@@ -63,7 +63,7 @@
 	for admin, want := range map[string]error{
 		gone(): requester.ErrNotSent, "http://[": requester.ErrNotSent, silent: requester.ErrBroken, page: requester.ErrBroken,
 	} {
-		r := requester.New([]string{admin}, "secret-token", requester.WithAttemptTimeout(50*time.Millisecond))
+		r := requester.New([]string{admin}, "secret-token", time.Now, requester.WithAttemptTimeout(50*time.Millisecond))
 		_, err := r.Send(t.Context(), admin, requester.Request{Method: http.MethodPut, Path: "/"}, nil)
 		qt.Check(t, err, qt.ErrorIs, want)
 		qt.Check(t, err, qt.Not(qt.ErrorMatches), ".*secret.*")
--- a/poplarctl/services/settler/settler.go
+++ b/poplarctl/services/settler/settler.go
@@ -21,6 +21,8 @@
 const (
 	shortestPause = 100 * time.Millisecond
 	longestPause  = 2 * time.Second
+	// spare is the time that must be left beyond twice the longest attempt.
+	spare = 500 * time.Millisecond
 )
 
 // Sender makes one attempt at one entry host.
@@ -32,6 +34,7 @@
 // Settler repeats a change, which its id makes idempotent, until its outcome is known.
 type Settler struct {
 	sender Sender
+	clock  func() time.Time
 	pause  func(ctx context.Context, wait time.Duration) error
 }
 
@@ -43,9 +46,9 @@
 	return func(s *Settler) { s.pause = pause }
 }
 
-// New returns a settler.
-func New(sender Sender, options ...Option) *Settler {
-	s := &Settler{sender: sender, pause: pause}
+// New returns a settler that takes the present time from the clock.
+func New(sender Sender, clock func() time.Time, options ...Option) *Settler {
+	s := &Settler{sender: sender, clock: clock, pause: pause}
 	for _, option := range options {
 		option(s)
 	}
@@ -59,7 +62,7 @@
 	if len(s.sender.Admins()) == 0 {
 		return index.Change{}, requester.ErrNoAdmin
 	}
-	c := course{sender: s.sender, request: request}
+	c := course{sender: s.sender, clock: s.clock, request: request}
 	for wait := shortestPause; ; wait = min(2*wait, longestPause) {
 		if change, done, err := c.round(ctx); done {
 			return change, err
@@ -73,7 +76,10 @@
 // course is what has been learned of one change.
 type course struct {
 	sender  Sender
+	clock   func() time.Time
 	request requester.Request
+	// longest is the time of the longest attempt so far.
+	longest time.Duration
 	// ambiguous is set once an attempt may have been accepted without its answer arriving.
 	ambiguous bool
 	last      error
@@ -81,21 +87,35 @@
 
 func (c *course) round(ctx context.Context) (index.Change, bool, error) {
 	for _, admin := range c.sender.Admins() {
-		var change index.Change
-		_, err := c.sender.Send(ctx, admin, c.request, &change)
+		if ctx.Err() != nil || c.wouldBeCut(ctx) {
+			return index.Change{}, true, c.outOfTime()
+		}
+		change, err := c.try(ctx, admin)
 		if err == nil {
 			return change, true, nil
 		}
 		if final := c.learn(err); final != nil {
 			return index.Change{}, true, final
 		}
-		if ctx.Err() != nil {
-			return index.Change{}, true, c.outOfTime()
-		}
 	}
 	return index.Change{}, false, nil
 }
 
+func (c *course) try(ctx context.Context, admin string) (index.Change, error) {
+	var change index.Change
+	started := c.clock()
+	_, err := c.sender.Send(ctx, admin, c.request, &change)
+	c.longest = max(c.longest, c.clock().Sub(started))
+	return change, err
+}
+
+// wouldBeCut reports whether another attempt may outlast the context, which
+// would make a known outcome an unknown one; the first is always made.
+func (c *course) wouldBeCut(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return limited && c.longest > 0 && c.clock().Add(2*c.longest+spare).After(deadline)
+}
+
 // learn notes a failed attempt and returns the error that ends the course, if it does.
 func (c *course) learn(err error) error {
 	c.last = err
--- a/poplarctl/services/settler/settler_test.go
+++ b/poplarctl/services/settler/settler_test.go
@@ -56,7 +56,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			s := &script{answers: test.answers}
-			change, err := settler.New(s, settler.WithPause(func(context.Context, time.Duration) error {
+			change, err := settler.New(s, time.Now, settler.WithPause(func(context.Context, time.Duration) error {
 				if len(s.answers) == 0 {
 					return context.DeadlineExceeded
 				}
@@ -81,3 +81,24 @@
 		})
 	}
 }
+
+// slow takes a second of its own clock for each attempt and never accepts.
+type slow struct {
+	script
+	now time.Time
+}
+
+func (s *slow) Send(ctx context.Context, admin string, request requester.Request, into any) (int64, error) {
+	s.now = s.now.Add(time.Second)
+	return s.script.Send(ctx, admin, request, into)
+}
+
+func TestNoAttemptIsStartedThatWouldBeCut(t *testing.T) {
+	s := &slow{now: time.Now(), script: script{answers: []error{refused(problem.CodeUnavailable), refused(problem.CodeUnavailable)}}}
+	ctx, cancel := context.WithDeadline(t.Context(), s.now.Add(4*time.Second))
+	defer cancel()
+	atOnce := settler.WithPause(func(context.Context, time.Duration) error { return nil })
+	_, err := settler.New(s, func() time.Time { return s.now }, atOnce).Settle(ctx, requester.Request{})
+	qt.Assert(t, err, qt.ErrorIs, settler.ErrNotAccepted)
+	qt.Assert(t, s.asked, qt.HasLen, 2)
+}
--- a/poplarhook/routers/administrator/administrator_test.go
+++ b/poplarhook/routers/administrator/administrator_test.go
@@ -209,6 +209,10 @@
 	f.refused(w, 503, problem.CodeUnavailable)
 	qt.Assert(t, w.Header().Get("Retry-After"), qt.Equals, "1")
 	f.refused(f.call("operators", "GET", "/v1/zones", ""), 503, problem.CodeUnavailable)
+	hurried := newFixture(t, administrator.WithPublishLimit(time.Hour))
+	hurried.store.err = storer.ErrUnavailable
+	w = hurried.call("operators", "PUT", "/v1/zones-out/fuerth?change_id=change-0003", "", "Prefer", "respond-async, wait=0")
+	hurried.refused(w, 503, problem.CodeUnavailable)
 }
 
 // losing applies every write and loses the reply; reads fail after the first write.
--- a/poplarhook/routers/administrator/config.go
+++ b/poplarhook/routers/administrator/config.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -108,7 +110,7 @@
 	if given {
 		wanted = wanted.WithBase(revision)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), a.limit)
+	ctx, cancel := context.WithTimeout(r.Context(), a.patience(r))
 	defer cancel()
 	change, err := a.publisher.Publish(ctx, wanted)
 	if err != nil {
@@ -121,6 +123,18 @@
 	writeAt(w, change.Revision, change)
 }
 
+// patience returns the limit, or less if the client prefers to wait less (RFC 7240).
+func (a *Administrator) patience(r *http.Request) time.Duration {
+	for preference := range strings.SplitSeq(r.Header.Get("Prefer"), ",") {
+		seconds, found := strings.CutPrefix(strings.TrimSpace(preference), "wait=")
+		wait, err := strconv.ParseUint(seconds, 10, 16)
+		if found && err == nil {
+			return min(a.limit, time.Duration(wait)*time.Second)
+		}
+	}
+	return a.limit
+}
+
 func (a *Administrator) changes(w http.ResponseWriter, r *http.Request, _ string) {
 	x, _, err := a.publisher.Index(r.Context())
 	if err != nil {
--- /dev/null
+++ b/tests/operators/doc.go
@@ -0,0 +1,2 @@
+// Package operators tests what operators are told against what the store holds.
+package operators
