--- a/lib/assembler/assembler.go
+++ b/lib/assembler/assembler.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"poplarhook.example/lib/document"
 	"poplarhook.example/lib/index"
@@ -21,6 +22,8 @@
 	ErrCorrupt = errors.New("object of the configuration is corrupt")
 )
 
+const parallelReads = 8
+
 // Fetcher reads objects of the store.
 type Fetcher interface {
 	Get(ctx context.Context, key string) (object.Object, error)
@@ -64,18 +67,32 @@
 		return snapshot.Snapshot{}, err
 	}
 	snap := snapshot.Snapshot{Revision: x.Revision, ChangeID: x.ChangeID, ZonesOut: slices.Clone(x.ZonesOut)}
+	var err error
+	if snap.Documents, err = a.documents(ctx, x.Documents); err != nil {
+		return snapshot.Snapshot{}, err
+	}
 	kept := make(map[string]document.Document, len(x.Documents))
-	for _, entry := range x.Documents {
-		doc, err := a.document(ctx, entry)
-		if err != nil {
-			return snapshot.Snapshot{}, err
-		}
-		kept[entry.Key] = doc
-		snap.Documents = append(snap.Documents, doc)
+	for i, entry := range x.Documents {
+		kept[entry.Key] = snap.Documents[i]
 	}
 	return snap, a.keep(x.Revision, kept)
 }
 
+// documents returns the documents in the order of their entries, reading several at once.
+func (a *Assembler) documents(ctx context.Context, entries []index.Entry) ([]document.Document, error) {
+	docs := make([]document.Document, len(entries))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelReads)
+	for i, entry := range entries {
+		group.Go(func() error {
+			var err error
+			docs[i], err = a.document(ctx, entry)
+			return err
+		})
+	}
+	return docs, group.Wait()
+}
+
 func (a *Assembler) refuseStale(revision int64) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
