Tell the accepting host of a change at once

Cause: the host that had a change accepted learned of it only by its watch, so a store that went out just after acceptance held the change back. Proved: a test assembles each accepted change with a store that answers nothing. Conclusion: the serving program can apply a change in the moment of its acceptance.

--- a/lib/assembler/assembler.go
+++ b/lib/assembler/assembler.go
@@ -51,6 +51,13 @@
 	a.applied = max(a.applied, revision)
 }
 
+// Remember keeps a document that is known already, so that Assemble need not read it.
+func (a *Assembler) Remember(key string, doc document.Document) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.kept[key] = doc
+}
+
 // Decode returns the index that an object of the store holds, or ErrCorrupt.
 func Decode(found object.Object) (index.Index, error) {
 	var x index.Index
--- a/lib/publisher/attempt.go
+++ b/lib/publisher/attempt.go
@@ -71,6 +71,9 @@
 		return index.Change{}, a.wait(ctx, errors.Errorf("the store shows an outdated index of revision %d", current.Revision))
 	}
 	if change, accepted, err := a.accepted(current); accepted || err != nil {
+		if accepted {
+			a.publisher.accepted(current, a.wanted)
+		}
 		return change, err
 	}
 	if err := a.settle(current, version); err != nil {
@@ -163,6 +166,7 @@
 	_, err = a.publisher.store.Put(ctx, index.Key, value, condition)
 	switch {
 	case err == nil:
+		a.publisher.accepted(next, a.wanted)
 		return next.History[0], nil
 	case errors.Is(err, storer.ErrConflict):
 		a.floor = version + 1
--- a/lib/publisher/publisher.go
+++ b/lib/publisher/publisher.go
@@ -59,6 +59,7 @@
 	validator Validator
 	documents *assembler.Assembler
 	rebases   int
+	accepted  func(x index.Index, wanted proposal.Proposal)
 	pause     func(ctx context.Context, wait time.Duration) error
 }
 
@@ -70,6 +71,12 @@
 	return func(p *Publisher) { p.rebases = n }
 }
 
+// WithAccepted sets what is told of an index as soon as it holds a proposal,
+// so that the host can apply it and hand it on though the store goes out next.
+func WithAccepted(accepted func(x index.Index, wanted proposal.Proposal)) Option {
+	return func(p *Publisher) { p.accepted = accepted }
+}
+
 // WithPause sets how the publisher waits between two calls to an unavailable store.
 func WithPause(pause func(ctx context.Context, wait time.Duration) error) Option {
 	return func(p *Publisher) { p.pause = pause }
@@ -82,6 +89,7 @@
 		validator: validator,
 		documents: assembler.New(store),
 		rebases:   defaultRebases,
+		accepted:  func(index.Index, proposal.Proposal) {},
 		pause:     pause,
 	}
 	for _, option := range options {
--- a/lib/publisher/publisher_test.go
+++ b/lib/publisher/publisher_test.go
@@ -8,11 +8,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"poplarhook.example/lib/assembler"
 	"poplarhook.example/lib/class"
 	"poplarhook.example/lib/document"
 	"poplarhook.example/lib/index"
 	"poplarhook.example/lib/proposal"
 	"poplarhook.example/lib/publisher"
+	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/lib/storer"
 	"poplarhook.example/lib/validator"
 )
@@ -176,6 +178,30 @@
 	qt.Assert(t, change.Revision, qt.Equals, int64(1))
 }
 
+// TestAcceptedIsTold checks that a host can apply a change without the store.
+func TestAcceptedIsTold(t *testing.T) {
+	store := newFakeStore(1, faults{lostAfter: 0.5})
+	applying := assembler.New(newFakeStore(1, faults{unavailable: 1}))
+	var applied snapshot.Snapshot
+	p := newPublisher(store, publisher.WithAccepted(func(x index.Index, wanted proposal.Proposal) {
+		if doc, is := wanted.Document(); is {
+			applying.Remember(index.DocumentKey(wanted.ChangeID(), doc.Team), doc)
+		}
+		var err error
+		applied, err = applying.Assemble(t.Context(), x)
+		qt.Assert(t, err, qt.IsNil)
+	}))
+	for i, wanted := range []proposal.Proposal{
+		forShop("change-0001", "a", "/a"), proposal.ForZoneOut("change-0002", "tester", at, "fuerth"), forShop("change-0003", "b", "/b"),
+	} {
+		_, err := p.Publish(t.Context(), wanted)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, applied.Revision, qt.Equals, int64(i+1))
+	}
+	qt.Assert(t, applied.Documents, qt.DeepEquals, []document.Document{shop("a", "/a"), shop("b", "/b")})
+	qt.Assert(t, applied.IsZoneOut("fuerth"), qt.IsTrue)
+}
+
 func TestHistoryIsBounded(t *testing.T) {
 	p := newPublisher(newFakeStore(1, faults{}))
 	for i := range index.MaxHistory + 5 {
