Wait for what every named entry host knows

Change: awaiter asks every entry host that is named, and each that answers must run the revision and know no live host behind it. The publisher's errors name their cause once, and say that nothing was changed also for reads.

--- a/lib/publisher/attempt.go
+++ b/lib/publisher/attempt.go
@@ -32,6 +32,8 @@
 	pending *pending
 	rebases int
 	backoff time.Duration
+	// cause is why the last step came to nothing.
+	cause error
 }
 
 type pending struct {
@@ -49,16 +51,16 @@
 			return change, err
 		}
 		if ctx.Err() != nil {
-			return index.Change{}, a.outOfTime(err)
+			return index.Change{}, a.outOfTime()
 		}
 	}
 }
 
-func (a *attempt) outOfTime(cause error) error {
+func (a *attempt) outOfTime() error {
 	if a.pending != nil {
-		return errors.Wrapf(ErrUnknownOutcome, "change %s: %v", a.wanted.ChangeID(), cause)
+		return errors.Wrapf(ErrUnknownOutcome, "%v", a.cause)
 	}
-	return errors.Wrapf(ErrUnavailable, "change %s: %v", a.wanted.ChangeID(), cause)
+	return unavailable(a.cause)
 }
 
 // step reads the index, answers if the outcome is known, and tries one update otherwise.
@@ -171,7 +173,8 @@
 	case errors.Is(err, storer.ErrConflict):
 		a.floor = version + 1
 		a.rebases++
-		return index.Change{}, errors.Wrap(errAgain, err.Error())
+		a.cause = err
+		return index.Change{}, errAgain
 	case errors.Is(err, storer.ErrTooLarge):
 		return index.Change{}, violation.New("document", err.Error(), "as many teams as the index can name")
 	case errors.Is(err, storer.ErrUnavailable):
@@ -202,7 +205,8 @@
 	a.backoff = min(max(2*a.backoff, shortestBackoff), longestBackoff)
 	// A pause that the context cuts short is seen by the caller in the context.
 	_ = a.publisher.pause(ctx, a.backoff)
-	return errors.Wrap(errAgain, cause.Error())
+	a.cause = cause
+	return errAgain
 }
 
 func conflict(current index.Index, revision, base int64) error {
--- a/lib/publisher/document.go
+++ b/lib/publisher/document.go
@@ -28,8 +28,9 @@
 		if err == nil || errors.Is(err, ErrChangeIDUsed) || errors.Is(err, violation.ErrInvalid) {
 			return err
 		}
-		if err := a.wait(ctx, err); ctx.Err() != nil {
-			return a.outOfTime(err)
+		_ = a.wait(ctx, err)
+		if ctx.Err() != nil {
+			return a.outOfTime()
 		}
 	}
 }
--- a/lib/publisher/publisher.go
+++ b/lib/publisher/publisher.go
@@ -23,8 +23,8 @@
 	ErrConflict = errors.New("another change was accepted first")
 	// ErrChangeIDUsed means that the change id belongs to a different change.
 	ErrChangeIDUsed = errors.New("change id is used for a different change")
-	// ErrUnavailable means that the store could not be used in time, and the change was not accepted.
-	ErrUnavailable = errors.New("store unavailable, change not accepted")
+	// ErrUnavailable means that the store could not be used in time, and nothing was changed.
+	ErrUnavailable = errors.New("the configuration is out of reach, nothing was changed")
 	// ErrUnknownOutcome means that the change may have been accepted; asking again with its id tells.
 	ErrUnknownOutcome = errors.New("outcome of the change unknown")
 	// ErrUnknownChange means that the history holds no change of an id.
@@ -182,9 +182,9 @@
 	return snap
 }
 
-// unavailable hides every fault of the store but one that waiting does not mend.
+// unavailable returns ErrUnavailable for every fault of the store but one that waiting does not mend.
 func unavailable(err error) error {
-	if err == nil || errors.Is(err, assembler.ErrCorrupt) {
+	if err == nil || errors.Is(err, assembler.ErrCorrupt) || errors.Is(err, ErrUnavailable) {
 		return err
 	}
 	return errors.Wrapf(ErrUnavailable, "%v", err)
--- a/poplarctl/cmd/change.go
+++ b/poplarctl/cmd/change.go
@@ -50,10 +50,10 @@
 	if !c.wait {
 		return c.shared.printer().Value(result, line)
 	}
-	s, waitErr := awaiter.New(sender).Wait(ctx, accepted.Revision)
+	waitErr := awaiter.New(sender).Wait(ctx, accepted.Revision)
 	result.Everywhere = waitErr == nil
-	if waitErr == nil {
-		line += fmt.Sprintf("\nin force: all live entry hosts run it, as %s knows", s.HostID)
+	if result.Everywhere {
+		line += "\nin force: all live entry hosts run it"
 	}
 	if err := c.shared.printer().Value(result, line); err != nil {
 		return err
--- a/poplarctl/services/awaiter/awaiter.go
+++ b/poplarctl/services/awaiter/awaiter.go
@@ -3,27 +3,34 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"poplarhook.example/lib/status"
+	"poplarhook.example/poplarctl/modules/requester"
 )
 
 // ErrNotEverywhere means that some live entry host did not run the revision in time.
 var ErrNotEverywhere = errors.New("revision does not run everywhere")
 
-const defaultInterval = 200 * time.Millisecond
+const (
+	defaultInterval = 200 * time.Millisecond
+	askTimeout      = 2 * time.Second
+	noAnswer        = "no entry host answers"
+)
 
-// Reader reads the status from an entry host.
-type Reader interface {
-	Read(ctx context.Context, path string, into any) (int64, error)
+// Sender asks one entry host.
+type Sender interface {
+	Admins() []string
+	Send(ctx context.Context, admin string, request requester.Request, into any) (int64, error)
 }
 
 // Awaiter watches the status of the entry hosts.
 type Awaiter struct {
-	reader   Reader
+	sender   Sender
 	interval time.Duration
 }
 
@@ -36,40 +43,73 @@
 }
 
 // New returns an awaiter.
-func New(reader Reader, options ...Option) *Awaiter {
-	a := &Awaiter{reader: reader, interval: defaultInterval}
+func New(sender Sender, options ...Option) *Awaiter {
+	a := &Awaiter{sender: sender, interval: defaultInterval}
 	for _, option := range options {
 		option(a)
 	}
 	return a
 }
 
-// Wait returns the status in which all live entry hosts run the revision, or
-// ErrNotEverywhere naming those that do not when the context ends.
-func (a *Awaiter) Wait(ctx context.Context, revision int64) (status.Status, error) {
+// Wait returns when each entry host that answers runs the revision and knows
+// no live one that does not, or ErrNotEverywhere with the reason when the
+// context ends first.
+func (a *Awaiter) Wait(ctx context.Context, revision int64) error {
 	ticker := time.NewTicker(a.interval)
 	defer ticker.Stop()
-	reason := "no status was read"
-	for {
-		var s status.Status
-		_, err := a.reader.Read(ctx, "/v1/status", &s)
-		if err == nil && s.Runs(revision) {
-			return s, nil
+	reason := noAnswer
+	for ctx.Err() == nil {
+		seen := a.look(ctx, revision)
+		if seen == "" {
+			return nil
 		}
-		if ctx.Err() == nil || err == nil {
-			reason = why(s, revision, err)
+		// The end of the context may cut a look short, which then says nothing new.
+		if seen != noAnswer {
+			reason = seen
 		}
 		select {
 		case <-ctx.Done():
-			return s, errors.Wrapf(ErrNotEverywhere, "revision %d: %s", revision, reason)
 		case <-ticker.C:
 		}
 	}
+	return errors.Wrapf(ErrNotEverywhere, "revision %d: %s", revision, reason)
+}
+
+// look asks every entry host and returns what is missing, if anything.
+func (a *Awaiter) look(ctx context.Context, revision int64) string {
+	answered := 0
+	var missing []string
+	for _, admin := range a.sender.Admins() {
+		s, err := a.ask(ctx, admin)
+		if err != nil {
+			continue
+		}
+		answered++
+		if reason := why(s, revision); reason != "" {
+			missing = append(missing, reason)
+		}
+	}
+	if answered == 0 {
+		return noAnswer
+	}
+	return strings.Join(missing, "; ")
 }
 
-func why(s status.Status, revision int64, err error) string {
-	if err != nil {
-		return err.Error()
+func (a *Awaiter) ask(ctx context.Context, admin string) (status.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var s status.Status
+	_, err := a.sender.Send(ctx, admin, requester.Request{Method: http.MethodGet, Path: "/v1/status"}, &s)
+	return s, err
+}
+
+// why returns what the entry host of a status lacks, empty if nothing.
+func why(s status.Status, revision int64) string {
+	if s.Revision < revision {
+		return fmt.Sprintf("%s itself runs %d", s.HostID, s.Revision)
+	}
+	if s.Runs(revision) {
+		return ""
 	}
 	var behind []string
 	for _, host := range s.Hosts {
@@ -78,7 +118,7 @@
 		}
 	}
 	if len(behind) == 0 {
-		return "no entry host is live"
+		behind = []string{"no live entry host"}
 	}
-	return strings.Join(behind, ", ")
+	return s.HostID + " knows: " + strings.Join(behind, ", ")
 }
