--- a/lib/publisher/publisher.go
+++ b/lib/publisher/publisher.go
@@ -23,8 +23,8 @@
 	ErrConflict = errors.New("another change was accepted first")
 	// ErrChangeIDUsed means that the change id belongs to a different change.
 	ErrChangeIDUsed = errors.New("change id is used for a different change")
-	// ErrUnavailable means that the store could not be used in time, and the change was not accepted.
-	ErrUnavailable = errors.New("store unavailable, change not accepted")
+	// ErrUnavailable means that the store could not be used in time, and nothing was changed.
+	ErrUnavailable = errors.New("the configuration is out of reach, nothing was changed")
 	// ErrUnknownOutcome means that the change may have been accepted; asking again with its id tells.
 	ErrUnknownOutcome = errors.New("outcome of the change unknown")
 	// ErrUnknownChange means that the history holds no change of an id.
@@ -59,6 +59,7 @@
 	validator Validator
 	documents *assembler.Assembler
 	rebases   int
+	accepted  func(x index.Index, wanted proposal.Proposal)
 	pause     func(ctx context.Context, wait time.Duration) error
 }
 
@@ -70,6 +71,12 @@
 	return func(p *Publisher) { p.rebases = n }
 }
 
+// WithAccepted sets what is told of an index as soon as it holds a proposal,
+// so that the host can apply it and hand it on though the store goes out next.
+func WithAccepted(accepted func(x index.Index, wanted proposal.Proposal)) Option {
+	return func(p *Publisher) { p.accepted = accepted }
+}
+
 // WithPause sets how the publisher waits between two calls to an unavailable store.
 func WithPause(pause func(ctx context.Context, wait time.Duration) error) Option {
 	return func(p *Publisher) { p.pause = pause }
@@ -82,6 +89,7 @@
 		validator: validator,
 		documents: assembler.New(store),
 		rebases:   defaultRebases,
+		accepted:  func(index.Index, proposal.Proposal) {},
 		pause:     pause,
 	}
 	for _, option := range options {
@@ -174,9 +182,9 @@
 	return snap
 }
 
-// unavailable hides every fault of the store but one that waiting does not mend.
+// unavailable returns ErrUnavailable for every fault of the store but one that waiting does not mend.
 func unavailable(err error) error {
-	if err == nil || errors.Is(err, assembler.ErrCorrupt) {
+	if err == nil || errors.Is(err, assembler.ErrCorrupt) || errors.Is(err, ErrUnavailable) {
 		return err
 	}
 	return errors.Wrapf(ErrUnavailable, "%v", err)
