Name the schedule of heartbeats after what it decides

Cause: lib/pacer keeps control traffic within its budget, and a second pacer beside it misleads. Change: models/pacer becomes models/scheduler. Conclusion: no change in what it does.

--- a/poplarhook/models/pacer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package pacer decides when each peer gets a heartbeat and which member the heartbeat names.
-package pacer
--- a/poplarhook/models/pacer/pacer.go
+++ b/poplarhook/models/scheduler/scheduler.go
@@ -1,4 +1,4 @@
-package pacer
+package scheduler
 
 import (
 	"slices"
@@ -26,31 +26,31 @@
 	underShare = 0.9
 )
 
-// Option changes how a Pacer is built.
-type Option func(*Pacer)
+// Option changes how a Scheduler is built.
+type Option func(*Scheduler)
 
 // WithInterval sets the time between heartbeats to a host of the own region.
 func WithInterval(interval time.Duration) Option {
-	return func(p *Pacer) { p.interval = interval }
+	return func(s *Scheduler) { s.interval = interval }
 }
 
 // WithRemoteInterval sets the time between heartbeats to a host of another region.
 func WithRemoteInterval(interval time.Duration) Option {
-	return func(p *Pacer) { p.remoteInterval = interval }
+	return func(s *Scheduler) { s.remoteInterval = interval }
 }
 
 // WithBudget sets the bytes per second that heartbeats should cost this host at most.
 func WithBudget(bytesPerSecond int) Option {
-	return func(p *Pacer) { p.budget = bytesPerSecond }
+	return func(s *Scheduler) { s.budget = bytesPerSecond }
 }
 
 // WithOverhead sets the bytes that encryption adds to each frame.
 func WithOverhead(bytes int) Option {
-	return func(p *Pacer) { p.overhead = bytes }
+	return func(s *Scheduler) { s.overhead = bytes }
 }
 
-// Pacer holds when each peer is due next; it is not safe for concurrent use.
-type Pacer struct {
+// Scheduler holds when each peer is due next; it is not safe for concurrent use.
+type Scheduler struct {
 	self           member.Member
 	interval       time.Duration
 	remoteInterval time.Duration
@@ -71,9 +71,9 @@
 	namedAt time.Time
 }
 
-// New returns a Pacer for the host.
-func New(self member.Member, options ...Option) *Pacer {
-	p := &Pacer{
+// New returns a Scheduler for the host.
+func New(self member.Member, options ...Option) *Scheduler {
+	s := &Scheduler{
 		self:           self,
 		interval:       defaultInterval,
 		remoteInterval: defaultRemoteInterval,
@@ -81,97 +81,97 @@
 		peers:          map[string]*schedule{},
 	}
 	for _, option := range options {
-		option(p)
+		option(s)
 	}
-	return p
+	return s
 }
 
 // Due returns those peers that get a heartbeat now and plans their next. A new peer is due at
 // once; those come first that were told of a member the longest ago.
-func (p *Pacer) Due(now time.Time, peers []member.Member) []member.Member {
-	p.prune(peers)
-	p.earn(now, peers)
+func (s *Scheduler) Due(now time.Time, peers []member.Member) []member.Member {
+	s.prune(peers)
+	s.earn(now, peers)
 	var due []member.Member
 	for _, peer := range peers {
-		s := p.peers[peer.ID]
-		if s == nil {
-			s = &schedule{beatAt: now}
-			p.peers[peer.ID] = s
+		plan := s.peers[peer.ID]
+		if plan == nil {
+			plan = &schedule{beatAt: now}
+			s.peers[peer.ID] = plan
 		}
-		if now.Before(s.beatAt) {
+		if now.Before(plan.beatAt) {
 			continue
 		}
 		due = append(due, peer)
-		s.beatAt = s.beatAt.Add(p.intervalOf(peer))
-		if !now.Before(s.beatAt) {
-			s.beatAt = now.Add(p.intervalOf(peer))
+		plan.beatAt = plan.beatAt.Add(s.intervalOf(peer))
+		if !now.Before(plan.beatAt) {
+			plan.beatAt = now.Add(s.intervalOf(peer))
 		}
 	}
 	slices.SortStableFunc(due, func(a, b member.Member) int {
-		return p.peers[a.ID].namedAt.Compare(p.peers[b.ID].namedAt)
+		return s.peers[a.ID].namedAt.Compare(s.peers[b.ID].namedAt)
 	})
 	return due
 }
 
 // Name returns the next live host that the peer should be told of, if the budget has room for
 // one. Each sender starts at another place in the list, so that a receiver soon hears of all.
-func (p *Pacer) Name(now time.Time, peer member.Member, live []member.Member) (member.Member, bool) {
-	s := p.peers[peer.ID]
-	if s == nil || p.credit < memberBytes || now.Sub(s.namedAt) < p.share {
+func (s *Scheduler) Name(now time.Time, peer member.Member, live []member.Member) (member.Member, bool) {
+	plan := s.peers[peer.ID]
+	if plan == nil || s.credit < memberBytes || now.Sub(plan.namedAt) < s.share {
 		return member.Member{}, false
 	}
 	others := slices.DeleteFunc(slices.Clone(live), func(m member.Member) bool { return m.ID == peer.ID })
 	if len(others) == 0 {
 		return member.Member{}, false
 	}
-	if s.named == "" {
-		start := xxhash.Sum64String(p.self.ID+"/"+peer.ID) % uint64(len(others))
-		s.named = others[start].ID
+	if plan.named == "" {
+		start := xxhash.Sum64String(s.self.ID+"/"+peer.ID) % uint64(len(others))
+		plan.named = others[start].ID
 	}
-	at := slices.IndexFunc(others, func(m member.Member) bool { return m.ID > s.named })
+	at := slices.IndexFunc(others, func(m member.Member) bool { return m.ID > plan.named })
 	next := others[max(at, 0)]
-	s.named, s.namedAt = next.ID, now
-	p.credit -= memberBytes
+	plan.named, plan.namedAt = next.ID, now
+	s.credit -= memberBytes
 	return next, true
 }
 
 // earn adds to the credit what the time since the last call is worth, at most one second's worth.
-func (p *Pacer) earn(now time.Time, peers []member.Member) {
-	rate := float64(min(max(p.budget-p.Planned(peers), minMemberRate), maxMemberRate))
-	if !p.earnedAt.IsZero() {
-		p.credit = min(p.credit+rate*now.Sub(p.earnedAt).Seconds(), rate)
+func (s *Scheduler) earn(now time.Time, peers []member.Member) {
+	rate := float64(min(max(s.budget-s.Planned(peers), minMemberRate), maxMemberRate))
+	if !s.earnedAt.IsZero() {
+		s.credit = min(s.credit+rate*now.Sub(s.earnedAt).Seconds(), rate)
 	}
-	p.earnedAt = now
+	s.earnedAt = now
 	seconds := underShare * float64(len(peers)*memberBytes) / rate
-	p.share = time.Duration(seconds * float64(time.Second))
+	s.share = time.Duration(seconds * float64(time.Second))
 }
 
 // Planned returns the bytes per second that heartbeats to the peers cost, members aside.
-func (p *Pacer) Planned(peers []member.Member) int {
+func (s *Scheduler) Planned(peers []member.Member) int {
 	total := 0.0
 	for _, peer := range peers {
-		total += float64(beatBytes+p.overhead) / p.intervalOf(peer).Seconds()
-		if peer.Region != p.self.Region {
-			total += float64(keepaliveBytes+p.overhead) / p.remoteInterval.Seconds()
+		total += float64(beatBytes+s.overhead) / s.intervalOf(peer).Seconds()
+		if peer.Region != s.self.Region {
+			total += float64(keepaliveBytes+s.overhead) / s.remoteInterval.Seconds()
 		}
 	}
 	return int(total)
 }
 
-func (p *Pacer) intervalOf(peer member.Member) time.Duration {
-	if peer.Region == p.self.Region {
-		return p.interval
+func (s *Scheduler) intervalOf(peer member.Member) time.Duration {
+	if peer.Region == s.self.Region {
+		return s.interval
 	}
-	return p.remoteInterval
+	return s.remoteInterval
 }
 
-func (p *Pacer) prune(peers []member.Member) {
-	if len(p.peers) <= len(peers) {
+func (s *Scheduler) prune(peers []member.Member) {
+	if len(s.peers) <= len(peers) {
 		return
 	}
-	for id := range p.peers {
+	for id := range s.peers {
 		if !slices.ContainsFunc(peers, func(m member.Member) bool { return m.ID == id }) {
-			delete(p.peers, id)
+			delete(s.peers, id)
 		}
 	}
 }
--- a/poplarhook/models/pacer/pacer_test.go
+++ b/poplarhook/models/scheduler/scheduler_test.go
@@ -1,4 +1,4 @@
-package pacer_test
+package scheduler_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"poplarhook.example/poplarhook/models/member"
-	"poplarhook.example/poplarhook/models/pacer"
+	"poplarhook.example/poplarhook/models/scheduler"
 )
 
 func fleet(size int) []member.Member {
@@ -31,15 +31,15 @@
 		{size: 17, turn: time.Minute, maxNames: 14, maxBudget: 1000},
 		{size: 100, turn: 80 * time.Minute, maxNames: 5, maxBudget: 4800},
 	} {
-		p := pacer.New(fleet(1)[0])
+		s := scheduler.New(fleet(1)[0])
 		all := fleet(test.size)
 		peers := all[1:]
 		beats, named, total := map[string]int{}, map[string]map[string]bool{}, 0
 		now := time.Unix(1000, 0)
 		for end := now.Add(test.turn); now.Before(end); now = now.Add(step) {
-			for _, peer := range p.Due(now, peers) {
+			for _, peer := range s.Due(now, peers) {
 				beats[peer.ID]++
-				m, ok := p.Name(now, peer, all)
+				m, ok := s.Name(now, peer, all)
 				if !ok {
 					continue
 				}
@@ -60,6 +60,6 @@
 			c.Check(named[peer.ID], qt.HasLen, test.size-1)
 		}
 		c.Check(total/seconds <= test.maxNames, qt.IsTrue, qt.Commentf("%d names a second", total/seconds))
-		c.Check(p.Planned(peers) < test.maxBudget, qt.IsTrue, qt.Commentf("%d bytes a second", p.Planned(peers)))
+		c.Check(s.Planned(peers) < test.maxBudget, qt.IsTrue, qt.Commentf("%d bytes a second", s.Planned(peers)))
 	}
 }
--- a/poplarhook/services/heartbeater/heartbeater.go
+++ b/poplarhook/services/heartbeater/heartbeater.go
@@ -10,9 +10,9 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/member"
-	"poplarhook.example/poplarhook/models/pacer"
 	"poplarhook.example/poplarhook/models/peerlist"
 	"poplarhook.example/poplarhook/models/roster"
+	"poplarhook.example/poplarhook/models/scheduler"
 )
 
 // tickInterval is the step of the heartbeats and of the roster's time.
@@ -39,9 +39,9 @@
 	return func(h *Heartbeater) { h.logger = logger }
 }
 
-// WithPacer sets what decides when heartbeats go out.
-func WithPacer(p *pacer.Pacer) Option {
-	return func(h *Heartbeater) { h.pacer = p }
+// WithScheduler sets what decides when heartbeats go out.
+func WithScheduler(s *scheduler.Scheduler) Option {
+	return func(h *Heartbeater) { h.scheduler = s }
 }
 
 // Heartbeater keeps the roster and the peers of the links up to date.
@@ -52,23 +52,23 @@
 	clock    func() time.Time
 	logger   *zap.Logger
 
-	mu    sync.Mutex
-	pacer *pacer.Pacer
-	live  []string
-	peers []host.Host
+	mu        sync.Mutex
+	scheduler *scheduler.Scheduler
+	live      []string
+	peers     []host.Host
 }
 
 // New returns a Heartbeater of the host that the roster names as its own.
 func New(r *roster.Roster, links Links, options ...Option) *Heartbeater {
 	self := r.Self()
 	h := &Heartbeater{
-		roster:   r,
-		links:    links,
-		peerlist: peerlist.New(self.ID),
-		clock:    time.Now,
-		logger:   zap.NewNop(),
-		pacer:    pacer.New(self),
-		live:     []string{self.ID},
+		roster:    r,
+		links:     links,
+		peerlist:  peerlist.New(self.ID),
+		clock:     time.Now,
+		logger:    zap.NewNop(),
+		scheduler: scheduler.New(self),
+		live:      []string{self.ID},
 	}
 	for _, option := range options {
 		option(h)
@@ -142,7 +142,7 @@
 	linked := h.linked()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.pacer.Planned(linked)
+	return h.scheduler.Planned(linked)
 }
 
 func (h *Heartbeater) step(now time.Time) {
@@ -156,9 +156,9 @@
 		h.links.SetPeers(peers)
 	}
 	live := h.roster.Live(now)
-	for _, peer := range h.pacer.Due(now, h.linked()) {
+	for _, peer := range h.scheduler.Due(now, h.linked()) {
 		beat := &wire.Heartbeat{}
-		if named, ok := h.pacer.Name(now, peer, live); ok {
+		if named, ok := h.scheduler.Name(now, peer, live); ok {
 			beat.Members = []*wire.Member{wireMember(named)}
 		}
 		h.send(peer.ID, beat)
