--- a/poplarhook/models/scheduler/scheduler.go
+++ b/poplarhook/models/scheduler/scheduler.go
@@ -95,7 +95,7 @@
 	for _, peer := range peers {
 		plan := s.peers[peer.ID]
 		if plan == nil {
-			plan = &schedule{beatAt: now}
+			plan = &schedule{beatAt: now.Add(-s.phase(peer))}
 			s.peers[peer.ID] = plan
 		}
 		if now.Before(plan.beatAt) {
@@ -165,6 +165,11 @@
 	return s.remoteInterval
 }
 
+// phase spreads the peers over their interval, as many become known at the same moment.
+func (s *Scheduler) phase(peer member.Member) time.Duration {
+	return time.Duration(xxhash.Sum64String(peer.ID) % uint64(s.intervalOf(peer)))
+}
+
 func (s *Scheduler) prune(peers []member.Member) {
 	if len(s.peers) <= len(peers) {
 		return
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -38,8 +38,9 @@
 	defaultQueueLimit = 256
 	maxHandshakes     = 64
 	checkInterval     = 100 * time.Millisecond
-	// keepaliveAfter is how long a link may send nothing before an empty frame goes out.
-	keepaliveAfter = 500 * time.Millisecond
+	// keepaliveAfter is how long a link may send nothing before an empty frame goes out; over half
+	// a second, so that heartbeats each second need only one between them.
+	keepaliveAfter = 550 * time.Millisecond
 )
 
 // Linker holds at most one link to each other entry host.
