Relay the configuration from two watching hosts of each region to all

Cause: every host would watch the index itself, so that calls to the store grow with the fleet, and a host without the store would learn nothing.

Change: services/relayer. A relay assembles the configuration, sends it to the hosts of its region and announces it to the relays of the others by a heartbeat. Offer takes a change accepted through this host and spreads it while the store is out. models/adopter holds the one in force; its revision only rises. A host that has just started adopts nothing until its roster is fresh, and an index older than what a live peer runs is not believed. A configuration is passed on as it came, so that a neighbour release's fields are not lost on the way.

Lost: sending the whole configuration to the other regions' relays at once. They read it themselves in the same moment, so it would cross the billed links for nothing.

Checked: relayers joined in memory, the real assembler, a store with faults (-race, 5 runs): store out just after acceptance, accepted while it is out, older index shown, cut off from it, started without it, healed partition. In each the applied revisions of every host only rise. Seen failing first, one fault at a time in the code: first offer believed at the start, lower revision adopted, an index behind the peers believed, nobody asks, all hosts watch, re-encoded on the way, nothing spread, broken replies believed. Two of these passed at first; a test was added for each.

--- /dev/null
+++ b/poplarhook/models/adopter/doc.go
@@ -0,0 +1,2 @@
+// Package adopter decides which accepted configuration this host runs.
+package adopter
--- /dev/null
+++ b/poplarhook/services/relayer/relayer_test.go
@@ -0,0 +1,188 @@
+package relayer_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/lib/wire"
+)
+
+var fleet = []string{"r0-a", "r0-b", "r0-c", "r0-d", "r1-a", "r1-b", "r1-c", "r2-a", "r2-b", "r2-c"}
+
+// relays returns the hosts that watch, once each host has heard all.
+func (w *world) relays() (relays, others []string) {
+	for id, n := range w.hosts {
+		if n.IsRelay(time.Now()) {
+			relays = append(relays, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	slices.Sort(relays)
+	return relays, others
+}
+
+// settle starts the hosts with revision 1 everywhere.
+func settle(t *testing.T, ids ...string) *world {
+	w := newWorld(t)
+	w.store.accept(1)
+	w.start(ids...)
+	w.awaitRevision(1)
+	return w
+}
+
+func TestTwoRelaysOfEachRegionWatchAndAllAdopt(t *testing.T) {
+	w := settle(t, fleet...)
+	onlyRelaysWatch := func() bool {
+		relays, _ := w.relays()
+		return len(relays) == 6 && slices.Equal(relays, w.store.watchers())
+	}
+	w.await(onlyRelaysWatch, "two relays of each region watch")
+	w.store.accept(2)
+	w.awaitRevision(2)
+	w.await(onlyRelaysWatch, "two relays of each region watch again")
+	for _, n := range w.hosts {
+		n.mu.Lock()
+		w.c.Check(len(n.replies) <= 6, qt.IsTrue, qt.Commentf("%s got %d replies", n.id, len(n.replies)))
+		n.mu.Unlock()
+	}
+}
+
+func TestStoreOutJustAfterAcceptance(t *testing.T) {
+	w := settle(t, fleet...)
+	relays, _ := w.relays()
+	w.store.setCut(true, fleet...)
+	w.store.setCut(false, relays[0])
+	w.store.accept(2, "zone-a")
+	w.awaitRevision(2, relays[0])
+	w.store.setDown(true)
+	w.awaitRevision(2)
+	for _, n := range w.hosts {
+		s, ready := n.Current()
+		w.c.Check(ready && s.IsZoneOut("zone-a"), qt.IsTrue)
+	}
+}
+
+func TestChangeAcceptedThroughAHostSpreadsWhileTheStoreIsOut(t *testing.T) {
+	w := settle(t, fleet...)
+	_, others := w.relays()
+	w.store.setDown(true)
+	adopted, err := w.hosts[others[0]].Offer(snapshot.Snapshot{Revision: 2})
+	w.c.Assert(err, qt.IsNil)
+	w.c.Check(adopted, qt.IsTrue)
+	w.awaitRevision(2)
+}
+
+func TestOlderIndexIsNotBelieved(t *testing.T) {
+	w := settle(t, "r0-a", "r0-b", "r0-c", "r1-a")
+	w.store.showOld()
+	// The change went through before the store began to show an old state.
+	_, err := w.hosts["r1-a"].Offer(snapshot.Snapshot{Revision: 3})
+	w.c.Assert(err, qt.IsNil)
+	w.awaitRevision(3)
+	w.hosts["r0-a"].stop()
+	w.start("r0-a", "r0-z")
+	w.awaitRevision(3)
+	for _, id := range []string{"r0-a", "r0-z"} {
+		n := w.hosts[id]
+		n.mu.Lock()
+		w.c.Check(n.applied, qt.DeepEquals, []int64{3}, qt.Commentf("%s started on what the store showed", id))
+		n.mu.Unlock()
+	}
+}
+
+func TestStartingHostWaitsForPeersThatRunMoreThanTheStoreShows(t *testing.T) {
+	w := settle(t, "r0-a", "r0-b")
+	w.store.showOld()
+	_, err := w.hosts["r0-a"].Offer(snapshot.Snapshot{Revision: 3})
+	w.c.Assert(err, qt.IsNil)
+	w.awaitRevision(3)
+	w.setNoRequests(true)
+	w.start("r1-a")
+	n := w.hosts["r1-a"]
+	w.await(func() bool { return n.counted("index_behind") > 1 }, "older index refused")
+	_, ready := n.Current()
+	w.c.Check(ready, qt.IsFalse)
+	w.setNoRequests(false)
+	w.awaitRevision(3)
+}
+
+func TestRelaySendsToItsRegionUnasked(t *testing.T) {
+	w := settle(t, fleet...)
+	relays, _ := w.relays()
+	w.store.setCut(true, fleet...)
+	w.store.setCut(false, relays[0])
+	w.setNoRequests(true)
+	w.store.accept(2)
+	w.awaitRevision(2, "r0-a", "r0-b", "r0-c", "r0-d")
+	w.setNoRequests(false)
+	w.awaitRevision(2)
+}
+
+func TestHostCutOffFromTheStoreLearnsFromPeers(t *testing.T) {
+	w := settle(t, fleet...)
+	w.store.setCut(true, "r0-a", "r0-b", "r0-c", "r0-d", "r2-b")
+	w.store.accept(2)
+	w.awaitRevision(2)
+}
+
+func TestHostStartsWhileTheStoreIsOut(t *testing.T) {
+	w := settle(t, "r0-a", "r0-b", "r1-a")
+	w.store.setDown(true)
+	w.start("r0-c", "r2-a")
+	_, ready := w.hosts["r0-c"].Current()
+	w.c.Check(ready, qt.IsFalse)
+	w.awaitRevision(1)
+	w.hosts["r0-a"].stop()
+	w.hosts["r0-b"].stop()
+	w.start("r0-a")
+	w.awaitRevision(1)
+}
+
+func TestHealedPartitionRunsTheHighestRevision(t *testing.T) {
+	w := settle(t, fleet...)
+	left, right := fleet[:5], fleet[5:]
+	w.store.setCut(true, right...)
+	w.setApart(true, left, right)
+	for revision := int64(2); revision <= 5; revision++ {
+		w.store.accept(revision)
+		w.awaitRevision(revision, left...)
+	}
+	w.awaitRevision(1, right...)
+	w.store.showOld()
+	w.store.setCut(true, left...)
+	w.setApart(false, left, right)
+	w.awaitRevision(5)
+}
+
+func TestBrokenConfigurationOfAPeerIsRefused(t *testing.T) {
+	w := settle(t, "r0-a", "r0-b")
+	for _, reply := range []*wire.SnapshotReply{
+		{Revision: 9, SnapshotJson: []byte(`{"revision":`)},
+		{Revision: 9, SnapshotJson: []byte(`{"revision":8}`)},
+		{Revision: 0, SnapshotJson: []byte(`{"revision":0}`)},
+	} {
+		w.hosts["r0-a"].Handle("r0-b", &wire.Frame{Body: &wire.Frame_SnapshotReply{SnapshotReply: reply}})
+	}
+	w.awaitRevision(1)
+}
+
+func TestFieldOfALaterReleaseIsPassedOn(t *testing.T) {
+	w := settle(t, "r0-a")
+	encoded := []byte(`{"revision":2,"added_later":true}`)
+	w.hosts["r0-a"].Handle("r0-b", &wire.Frame{Body: &wire.Frame_SnapshotReply{
+		SnapshotReply: &wire.SnapshotReply{Revision: 2, SnapshotJson: encoded},
+	}})
+	w.awaitRevision(2)
+	w.start("r0-c")
+	w.awaitRevision(2)
+	n := w.hosts["r0-c"]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w.c.Assert(n.replies, qt.Not(qt.HasLen), 0)
+	w.c.Check(string(n.replies[0].GetSnapshotJson()), qt.Equals, string(encoded))
+}
