--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -50,8 +50,14 @@
 	stop := context.AfterFunc(ctx, func() { metered.Close() })
 	defer stop()
 
+	timer := time.AfterFunc(handshakeTimeout, cancel)
+	defer timer.Stop()
 	dialed := expected != ""
-	session, err := l.session(metered, dialed)
+	secured, err := l.secure(ctx, metered, dialed)
+	if err != nil {
+		return err
+	}
+	session, err := l.session(secured, dialed)
 	if err != nil {
 		return err
 	}
@@ -60,6 +66,7 @@
 	if err := l.greet(k, session, expected); err != nil {
 		return err
 	}
+	timer.Stop()
 	greeted()
 	replaced, err := l.register(k)
 	if err != nil {
@@ -73,12 +80,24 @@
 	return l.pump(ctx, k)
 }
 
-func (l *Linker) session(conn net.Conn, dialed bool) (*yamux.Session, error) {
-	if l.tls != nil && dialed {
-		conn = tls.Client(conn, l.tls)
-	} else if l.tls != nil {
-		conn = tls.Server(conn, l.tls)
+// secure makes both sides prove themselves, when there are settings for it.
+func (l *Linker) secure(ctx context.Context, conn net.Conn, dialed bool) (net.Conn, error) {
+	if l.tls == nil {
+		return conn, nil
+	}
+	start := tls.Server
+	if dialed {
+		start = tls.Client
 	}
+	secured := start(conn, l.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		l.refused.Add(1)
+		return nil, errors.Wrapf(ErrRefused, "TLS: %v", err)
+	}
+	return secured, nil
+}
+
+func (l *Linker) session(conn net.Conn, dialed bool) (*yamux.Session, error) {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = streamBacklog
 	config.EnableKeepAlive = false
@@ -94,8 +113,6 @@
 
 // greet opens one stream in each direction and exchanges the first frames on them.
 func (l *Linker) greet(k *link, session *yamux.Session, expected string) error {
-	timer := time.AfterFunc(handshakeTimeout, k.close)
-	defer timer.Stop()
 	stream, err := session.OpenStream()
 	if err != nil {
 		return errors.Wrap(err, "open stream")
