Tell the loss of a link before the next one and tie hosts to certificates

Cause: a silent link leaves the table at once, but its loss was told when its reader ended. A change of a peer's address in the host list also closed a working link, and any holder of a certificate of the authority could greet as another host.

Change: a link waits to be told until the loss of the host's earlier one was told. A changed address is used by the next dial. When a peer's certificate names hosts, its greeting must be one of them.

Seen failing first: the order as above; with the old handling of addresses and without the check of names the new tests fail.

--- a/poplarhook/modules/certifier/certifier_test.go
+++ b/poplarhook/modules/certifier/certifier_test.go
@@ -52,11 +52,11 @@
 }
 
 // issue returns a certificate and its key that end at the given time.
-func (a authority) issue(serial int64, end time.Time) (certificate, key string) {
+func (a authority) issue(serial int64, end time.Time, names ...string) (certificate, key string) {
 	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	a.c.Assert(err, qt.IsNil)
 	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: end,
+		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: end, DNSNames: names,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &private.PublicKey, a.key)
@@ -66,8 +66,8 @@
 	return encode("CERTIFICATE", der), encode("EC PRIVATE KEY", keyDER)
 }
 
-func (a authority) certifier(serial int64) *certifier.Certifier {
-	certificate, key := a.issue(serial, time.Now().Add(time.Hour))
+func (a authority) certifier(serial int64, names ...string) *certifier.Certifier {
+	certificate, key := a.issue(serial, time.Now().Add(time.Hour), names...)
 	made, err := certifier.New(a.pem, certificate, key)
 	a.c.Assert(err, qt.IsNil)
 	return made
@@ -206,17 +206,18 @@
 		return l, host.Host{ID: id, PeerAddress: listener.Addr().String()}
 	}
 	a, hostA := start("a", ours.certifier(1).Config())
-	b, _ := start("b", ours.certifier(2).Config())
+	b, _ := start("b", ours.certifier(2, "b").Config())
+	impostor, _ := start("impostor", ours.certifier(4, "b").Config())
 	foreign, _ := start("foreign", theirs.certifier(3).Config())
 	plain, _ := start("plain", nil)
-	for _, l := range []*linker.Linker{b, foreign, plain} {
+	for _, l := range []*linker.Linker{b, impostor, foreign, plain} {
 		l.SetPeers([]host.Host{hostA})
 	}
 	deadline := time.After(10 * time.Second)
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
-	// Several refusals show that the two hosts outside tried and failed more than once.
-	for len(a.Connected()) == 0 || a.Counts().Refused < 4 {
+	// Several refusals show that the hosts outside tried and failed more than once.
+	for len(a.Connected()) == 0 || a.Counts().Refused < 8 {
 		select {
 		case <-deadline:
 			c.Fatalf("connected %v, refused %d", a.Connected(), a.Counts().Refused)
--- a/poplarhook/modules/linker/dialer.go
+++ b/poplarhook/modules/linker/dialer.go
@@ -19,20 +19,21 @@
 
 // dialer opens a link to one wanted peer whenever there is none.
 type dialer struct {
-	peer   host.Host
+	id     string
+	peer   host.Host // guarded by the linker's lock
 	cancel context.CancelFunc
 	lost   chan struct{}
 }
 
 func (l *Linker) runDialer(ctx context.Context, d *dialer) {
 	first := time.Duration(0)
-	if l.self.GetHostId() > d.peer.ID {
+	if l.self.GetHostId() > d.id {
 		first = firstDialDelay
 	}
 	wait := first
 	backoff := minBackoff
 	for sleep(ctx, wait) {
-		if l.isConnected(d.peer.ID) {
+		if l.isConnected(d.id) {
 			backoff = minBackoff
 			wait = first
 			if !d.awaitLoss(ctx) {
@@ -41,7 +42,7 @@
 			continue
 		}
 		before := l.clock()
-		l.dial(ctx, d.peer)
+		l.dial(ctx, l.target(d))
 		if l.clock().Sub(before) > maxBackoff {
 			backoff = minBackoff
 		}
@@ -60,6 +61,13 @@
 	}
 }
 
+// target returns where the dialer's peer is reached now.
+func (l *Linker) target(d *dialer) host.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return d.peer
+}
+
 func (l *Linker) dial(ctx context.Context, peer host.Host) {
 	netDialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	conn, err := netDialer.DialContext(ctx, "tcp", peer.PeerAddress)
--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"time"
@@ -28,8 +29,10 @@
 	close  context.CancelFunc
 	send   *yamux.Stream
 	reader *bufio.Reader
-	// replaced says that a later link to the host took this one's place.
-	replaced bool
+	// ended closes once the loss of the link was told.
+	ended chan struct{}
+	// certificate is what the peer proved itself by, nil without TLS.
+	certificate *x509.Certificate
 }
 
 // dialedBy returns the id of the host that opened the connection.
@@ -62,19 +65,26 @@
 		return err
 	}
 	defer func() { _ = session.Close() }()
-	k := &link{dialed: dialed, conn: metered, outbox: newOutbox(l.queueLimit), close: cancel}
+	k := &link{
+		dialed:      dialed,
+		conn:        metered,
+		outbox:      newOutbox(l.queueLimit),
+		close:       cancel,
+		ended:       make(chan struct{}),
+		certificate: certificateOf(secured),
+	}
 	if err := l.greet(k, session, expected); err != nil {
 		return err
 	}
 	timer.Stop()
 	greeted()
-	replaced, err := l.register(k)
+	previous, err := l.register(k)
 	if err != nil {
 		return err
 	}
 	defer l.unregister(k)
-	if replaced {
-		l.hook(k.peer.GetHostId(), false)
+	if previous != nil {
+		<-previous
 	}
 	l.hook(k.peer.GetHostId(), true)
 	return l.pump(ctx, k)
@@ -134,13 +144,37 @@
 		return errors.Wrap(err, "read hello")
 	}
 	k.peer = frame.GetHello()
-	if err := l.check(k.peer, expected); err != nil {
+	err = l.check(k.peer, expected)
+	if err == nil {
+		err = checkName(k.certificate, k.peer.GetHostId())
+	}
+	if err != nil {
 		l.refused.Add(1)
-		return err
+	}
+	return err
+}
+
+// checkName refuses a host id that the certificate does not name. A certificate without names
+// is one for all hosts.
+func checkName(certificate *x509.Certificate, id string) error {
+	if certificate == nil || len(certificate.DNSNames) == 0 {
+		return nil
+	}
+	if err := certificate.VerifyHostname(id); err != nil {
+		return errors.Wrapf(ErrRefused, "host id %q in hello is not in the certificate", id)
 	}
 	return nil
 }
 
+// certificateOf returns what the other side of a connection proved itself by, nil without TLS.
+func certificateOf(conn net.Conn) *x509.Certificate {
+	secured, ok := conn.(*tls.Conn)
+	if !ok || len(secured.ConnectionState().PeerCertificates) == 0 {
+		return nil
+	}
+	return secured.ConnectionState().PeerCertificates[0]
+}
+
 // check refuses a greeting that this host cannot work with.
 func (l *Linker) check(peer *wire.Hello, expected string) error {
 	id, version := peer.GetHostId(), peer.GetProtocolVersion()
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -55,11 +55,13 @@
 	silence    time.Duration
 	queueLimit int
 
-	mu      sync.Mutex
-	closed  bool
-	ctx     context.Context
-	wanted  []host.Host
-	links   map[string]*link
+	mu     sync.Mutex
+	closed bool
+	ctx    context.Context
+	wanted []host.Host
+	links  map[string]*link
+	// ends holds the end of each host's latest link, until it was told.
+	ends    map[string]chan struct{}
 	dialers map[string]*dialer
 	running sync.WaitGroup
 
@@ -77,6 +79,7 @@
 		silence:    defaultSilence,
 		queueLimit: defaultQueueLimit,
 		links:      map[string]*link{},
+		ends:       map[string]chan struct{}{},
 		dialers:    map[string]*dialer{},
 	}
 	for _, option := range options {
--- a/poplarhook/modules/linker/linker_test.go
+++ b/poplarhook/modules/linker/linker_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -215,6 +216,48 @@
 	await(c, 5*time.Second, "replaced", func() bool { return len(a.Connected()) == 1 })
 }
 
+func TestLinkInUseOutlivesAChangeOfAddress(t *testing.T) {
+	c := qt.New(t)
+	var lost atomic.Bool
+	a := start(c, "a", linker.WithLinkHook(func(_ string, up bool) {
+		if !up {
+			lost.Store(true)
+		}
+	}))
+	b := start(c, "b")
+	a.SetPeers([]host.Host{b.host})
+	await(c, 5*time.Second, "connected", func() bool { return len(a.Connected()) == 1 })
+	a.SetPeers([]host.Host{{ID: "b", PeerAddress: "127.0.0.1:1"}})
+	c.Assert(a.Send("b", credit()), qt.IsNil)
+	await(c, time.Second, "frame on the old link", func() bool { return b.received() == 1 })
+	c.Check(lost.Load(), qt.IsFalse)
+}
+
+func TestLossOfALinkIsToldBeforeTheNextOne(t *testing.T) {
+	c := qt.New(t)
+	var mu sync.Mutex
+	var told []bool
+	tellings := func() []bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(told)
+	}
+	release := make(chan struct{})
+	a := start(c, "a", linker.WithHandler(func(string, *wire.Frame) { <-release }),
+		linker.WithLinkHook(func(_ string, up bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			told = append(told, up)
+		}))
+	_, err := protodelim.MarshalTo(rawPeer(c, a, "b"), demand(1))
+	c.Assert(err, qt.IsNil)
+	await(c, 1500*time.Millisecond, "silent link closed", func() bool { return len(a.Connected()) == 0 })
+	rawPeer(c, a, "b")
+	close(release)
+	await(c, time.Second, "loss and new link told", func() bool { return len(tellings()) == 3 })
+	c.Check(tellings(), qt.DeepEquals, []bool{true, false, true})
+}
+
 // forwarder passes connections on to a host until they are cut; cut ones stay open and mute.
 type forwarder struct {
 	mu    sync.Mutex
--- a/poplarhook/modules/linker/links.go
+++ b/poplarhook/modules/linker/links.go
@@ -28,14 +28,13 @@
 	}
 	for _, peer := range l.wanted {
 		d := l.dialers[peer.ID]
-		if d != nil && d.peer.PeerAddress == peer.PeerAddress {
-			continue
-		}
 		if d != nil {
-			l.drop(peer.ID, d)
+			// A link in use stays when the address changes; the next dial takes the new one.
+			d.peer = peer
+			continue
 		}
 		ctx, cancel := context.WithCancel(running)
-		d = &dialer{peer: peer, cancel: cancel, lost: make(chan struct{}, 1)}
+		d = &dialer{id: peer.ID, peer: peer, cancel: cancel, lost: make(chan struct{}, 1)}
 		l.dialers[peer.ID] = d
 		l.running.Go(func() { l.runDialer(ctx, d) })
 	}
@@ -53,23 +52,24 @@
 
 // register puts the link in use, or refuses it in favour of the one in use. Of two links to
 // one incarnation that were dialed from both ends, both ends keep the one that the host with
-// the lower id dialed. It reports whether an earlier link was replaced.
-func (l *Linker) register(k *link) (replaced bool, err error) {
+// the lower id dialed. The channel closes once the loss of the host's earlier link was told.
+func (l *Linker) register(k *link) (<-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	id := k.peer.GetHostId()
 	old := l.links[id]
 	if old != nil && !l.replaces(k, old) {
-		return false, errors.Wrapf(ErrRefused, "second link to %s", id)
+		return nil, errors.Wrapf(ErrRefused, "second link to %s", id)
 	}
 	l.links[id] = k
+	previous := l.ends[id]
+	l.ends[id] = k.ended
 	if old != nil {
-		old.replaced = true
 		old.close()
-		return true, nil
+		return previous, nil
 	}
 	l.logger.Info("peer connected", zap.String("host_id", id))
-	return false, nil
+	return previous, nil
 }
 
 func (l *Linker) replaces(k, old *link) bool {
@@ -81,13 +81,18 @@
 	return k.dialedBy(self) == lower || old.dialedBy(self) != lower
 }
 
+// unregister takes the link out of use and tells of its loss.
 func (l *Linker) unregister(k *link) {
+	id := k.peer.GetHostId()
 	l.mu.Lock()
 	l.forget(k)
-	replaced := k.replaced
 	l.mu.Unlock()
-	if !replaced {
-		l.hook(k.peer.GetHostId(), false)
+	l.hook(id, false)
+	close(k.ended)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ends[id] == k.ended {
+		delete(l.ends, id)
 	}
 }
 
