Read the store when no peer answers, forget hosts long silent

Cause: a host that is no relay and gets no answer from its peers stayed behind for good, for example when the configuration is larger than a frame may be (revision 1 after 5 s while the relays ran 2). The roster kept every host that it ever heard.

Change: a host that was behind for 2 s watches the index itself until it has caught up. A host silent for ten minutes leaves the roster.

--- a/poplarhook/models/roster/roster.go
+++ b/poplarhook/models/roster/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 const (
 	defaultTimeout       = time.Second
 	defaultRemoteTimeout = 3 * time.Second
+	// forgetAfter is how long a silent host is remembered, for its revision and whether it left.
+	forgetAfter = 10 * time.Minute
 )
 
 // Option changes how a Roster is built.
@@ -85,6 +88,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.advance(now)
+	maps.DeleteFunc(r.peers, func(_ string, peer record) bool { return now.Sub(peer.heard) > forgetAfter })
 }
 
 // Forget removes a host that the platform lists no longer.
--- a/poplarhook/services/relayer/follow.go
+++ b/poplarhook/services/relayer/follow.go
@@ -23,7 +23,7 @@
 // errBehind means that the store shows an index older than what this host or a live peer runs.
 var errBehind = errors.New("index is older than the configuration in force")
 
-// follow watches the index while this host is a relay.
+// follow watches the index while this host is a relay, or when no peer gives it what they run.
 func (r *Relayer) follow(ctx context.Context) {
 	backoff := minBackoff
 	version, watching := int64(0), false
@@ -33,7 +33,7 @@
 			watching = relay
 			r.logger.Info("relay of the configuration", zap.Bool("active", relay))
 		}
-		if !relay {
+		if !relay && r.behindFor(r.clock()) < storePatience {
 			sleep(ctx, stepInterval)
 			continue
 		}
--- a/poplarhook/services/relayer/relayer.go
+++ b/poplarhook/services/relayer/relayer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,10 +73,12 @@
 	// not know reaches the next host all the same.
 	encoded []byte
 
-	// The pull loop alone uses these.
-	behindSince time.Time
-	askedAt     time.Time
-	asked       int
+	// behindSince is when peers were first seen to run more than this host, in Unix nanoseconds,
+	// zero while none is.
+	behindSince atomic.Int64
+	// The loop that asks peers alone uses these.
+	askedAt time.Time
+	asked   int
 }
 
 // New returns a Relayer without a configuration.
--- a/poplarhook/services/relayer/relayer_test.go
+++ b/poplarhook/services/relayer/relayer_test.go
@@ -123,6 +123,13 @@
 	w.awaitRevision(2)
 }
 
+func TestHostThatNoPeerAnswersReadsTheStoreItself(t *testing.T) {
+	w := settle(t, "r0-a", "r0-b", "r0-c", "r0-d")
+	w.setNoReplies(true)
+	w.store.accept(2)
+	w.awaitRevision(2)
+}
+
 func TestHostCutOffFromTheStoreLearnsFromPeers(t *testing.T) {
 	w := settle(t, fleet...)
 	w.store.setCut(true, "r0-a", "r0-b", "r0-c", "r0-d", "r2-b")
--- a/poplarhook/services/relayer/spread.go
+++ b/poplarhook/services/relayer/spread.go
@@ -20,6 +20,8 @@
 	// as bytes between regions are billed.
 	relayPatience = 300 * time.Millisecond
 	hostPatience  = 600 * time.Millisecond
+	// storePatience is how long a host asks its peers before it reads the store itself.
+	storePatience = 2 * time.Second
 )
 
 // spread sends the configuration in force to the hosts of the own region that lack it and
@@ -81,19 +83,26 @@
 	}
 	ahead := r.ahead(now)
 	if len(ahead) == 0 {
-		r.behindSince = time.Time{}
+		r.behindSince.Store(0)
 		return
 	}
-	if r.behindSince.IsZero() {
-		r.behindSince = now
-	}
-	if now.Sub(r.askedAt) < askAgainAfter || now.Sub(r.behindSince) < r.patience(now, ahead) {
+	r.behindSince.CompareAndSwap(0, now.UnixNano())
+	if now.Sub(r.askedAt) < askAgainAfter || r.behindFor(now) < r.patience(now, ahead) {
 		return
 	}
 	r.askedAt = now
 	r.ask(ahead)
 }
 
+// behindFor returns for how long peers have run more than this host.
+func (r *Relayer) behindFor(now time.Time) time.Duration {
+	since := r.behindSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
 // ahead returns the live peers with the highest revision, those of the own region if there are any.
 func (r *Relayer) ahead(now time.Time) []member.Member {
 	self, highest := r.members.Self(), r.highestHeard()
--- a/poplarhook/services/relayer/world_test.go
+++ b/poplarhook/services/relayer/world_test.go
@@ -177,8 +177,8 @@
 	mu    sync.Mutex
 	hosts map[string]*node
 	apart map[[2]string]bool
-	// noRequests loses every request for a configuration.
-	noRequests bool
+	// noRequests loses every request for a configuration, noReplies every configuration.
+	noRequests, noReplies bool
 }
 
 type node struct {
@@ -315,6 +315,12 @@
 	w.noRequests = lost
 }
 
+func (w *world) setNoReplies(lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noReplies = lost
+}
+
 // Send delivers the frame in the receiver's own goroutine, in order.
 func (n *node) Send(hostID string, frame *wire.Frame) error {
 	n.world.mu.Lock()
@@ -323,7 +329,7 @@
 	if to == nil || !n.world.joined(n.id, hostID) {
 		return errors.New("no link")
 	}
-	if n.world.noRequests && frame.GetSnapshotRequest() != nil {
+	if n.world.noRequests && frame.GetSnapshotRequest() != nil || n.world.noReplies && frame.GetSnapshotReply() != nil {
 		return nil
 	}
 	self := n.roster.Self()
