--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"net"
 	"time"
@@ -28,8 +29,10 @@
 	close  context.CancelFunc
 	send   *yamux.Stream
 	reader *bufio.Reader
-	// replaced says that a later link to the host took this one's place.
-	replaced bool
+	// ended closes once the loss of the link was told.
+	ended chan struct{}
+	// certificate is what the peer proved itself by, nil without TLS.
+	certificate *x509.Certificate
 }
 
 // dialedBy returns the id of the host that opened the connection.
@@ -50,35 +53,61 @@
 	stop := context.AfterFunc(ctx, func() { metered.Close() })
 	defer stop()
 
+	timer := time.AfterFunc(handshakeTimeout, cancel)
+	defer timer.Stop()
 	dialed := expected != ""
-	session, err := l.session(metered, dialed)
+	secured, err := l.secure(ctx, metered, dialed)
+	if err != nil {
+		return err
+	}
+	session, err := l.session(secured, dialed)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = session.Close() }()
-	k := &link{dialed: dialed, conn: metered, outbox: newOutbox(l.queueLimit), close: cancel}
+	k := &link{
+		dialed:      dialed,
+		conn:        metered,
+		outbox:      newOutbox(l.queueLimit),
+		close:       cancel,
+		ended:       make(chan struct{}),
+		certificate: certificateOf(secured),
+	}
 	if err := l.greet(k, session, expected); err != nil {
 		return err
 	}
+	timer.Stop()
 	greeted()
-	replaced, err := l.register(k)
+	previous, err := l.register(k)
 	if err != nil {
 		return err
 	}
 	defer l.unregister(k)
-	if replaced {
-		l.hook(k.peer.GetHostId(), false)
+	if previous != nil {
+		<-previous
 	}
 	l.hook(k.peer.GetHostId(), true)
 	return l.pump(ctx, k)
 }
 
-func (l *Linker) session(conn net.Conn, dialed bool) (*yamux.Session, error) {
-	if l.tls != nil && dialed {
-		conn = tls.Client(conn, l.tls)
-	} else if l.tls != nil {
-		conn = tls.Server(conn, l.tls)
+// secure makes both sides prove themselves, when there are settings for it.
+func (l *Linker) secure(ctx context.Context, conn net.Conn, dialed bool) (net.Conn, error) {
+	if l.tls == nil {
+		return conn, nil
+	}
+	start := tls.Server
+	if dialed {
+		start = tls.Client
+	}
+	secured := start(conn, l.tls)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		l.refused.Add(1)
+		return nil, errors.Wrapf(ErrRefused, "TLS: %v", err)
 	}
+	return secured, nil
+}
+
+func (l *Linker) session(conn net.Conn, dialed bool) (*yamux.Session, error) {
 	config := yamux.DefaultConfig()
 	config.AcceptBacklog = streamBacklog
 	config.EnableKeepAlive = false
@@ -94,8 +123,6 @@
 
 // greet opens one stream in each direction and exchanges the first frames on them.
 func (l *Linker) greet(k *link, session *yamux.Session, expected string) error {
-	timer := time.AfterFunc(handshakeTimeout, k.close)
-	defer timer.Stop()
 	stream, err := session.OpenStream()
 	if err != nil {
 		return errors.Wrap(err, "open stream")
@@ -117,13 +144,37 @@
 		return errors.Wrap(err, "read hello")
 	}
 	k.peer = frame.GetHello()
-	if err := l.check(k.peer, expected); err != nil {
+	err = l.check(k.peer, expected)
+	if err == nil {
+		err = checkName(k.certificate, k.peer.GetHostId())
+	}
+	if err != nil {
 		l.refused.Add(1)
-		return err
+	}
+	return err
+}
+
+// checkName refuses a host id that the certificate does not name. A certificate without names
+// is one for all hosts.
+func checkName(certificate *x509.Certificate, id string) error {
+	if certificate == nil || len(certificate.DNSNames) == 0 {
+		return nil
+	}
+	if err := certificate.VerifyHostname(id); err != nil {
+		return errors.Wrapf(ErrRefused, "host id %q in hello is not in the certificate", id)
 	}
 	return nil
 }
 
+// certificateOf returns what the other side of a connection proved itself by, nil without TLS.
+func certificateOf(conn net.Conn) *x509.Certificate {
+	secured, ok := conn.(*tls.Conn)
+	if !ok || len(secured.ConnectionState().PeerCertificates) == 0 {
+		return nil
+	}
+	return secured.ConnectionState().PeerCertificates[0]
+}
+
 // check refuses a greeting that this host cannot work with.
 func (l *Linker) check(peer *wire.Hello, expected string) error {
 	id, version := peer.GetHostId(), peer.GetProtocolVersion()
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -38,8 +38,9 @@
 	defaultQueueLimit = 256
 	maxHandshakes     = 64
 	checkInterval     = 100 * time.Millisecond
-	// keepaliveAfter is how long a link may send nothing before an empty frame goes out.
-	keepaliveAfter = 500 * time.Millisecond
+	// keepaliveAfter is how long a link may send nothing before an empty frame goes out; over half
+	// a second, so that heartbeats each second need only one between them.
+	keepaliveAfter = 550 * time.Millisecond
 )
 
 // Linker holds at most one link to each other entry host.
@@ -54,11 +55,13 @@
 	silence    time.Duration
 	queueLimit int
 
-	mu      sync.Mutex
-	closed  bool
-	ctx     context.Context
-	wanted  []host.Host
-	links   map[string]*link
+	mu     sync.Mutex
+	closed bool
+	ctx    context.Context
+	wanted []host.Host
+	links  map[string]*link
+	// ends holds the end of each host's latest link, until it was told.
+	ends    map[string]chan struct{}
 	dialers map[string]*dialer
 	running sync.WaitGroup
 
@@ -76,6 +79,7 @@
 		silence:    defaultSilence,
 		queueLimit: defaultQueueLimit,
 		links:      map[string]*link{},
+		ends:       map[string]chan struct{}{},
 		dialers:    map[string]*dialer{},
 	}
 	for _, option := range options {
