--- /dev/null
+++ b/lib/borrower/bench_test.go
@@ -0,0 +1,74 @@
+package borrower_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"poplarhook.example/lib/action"
+	"poplarhook.example/lib/borrower"
+	"poplarhook.example/lib/credit"
+)
+
+// BenchmarkRequest is one request on a host that has all endpoints in use: with a grant for each, or on a kept credit.
+func BenchmarkRequest(b *testing.B) {
+	for _, endpoints := range []int{4, 40, 400} {
+		for name, hold := range map[string]time.Duration{"granted": 0, "kept": time.Hour} {
+			b.Run(fmt.Sprintf("endpoints=%d/%s", endpoints, name), func(b *testing.B) {
+				benchmarkRequest(b, endpoints, hold)
+			})
+		}
+	}
+}
+
+func benchmarkRequest(b *testing.B, endpoints int, hold time.Duration) {
+	host := borrower.New("b1", borrower.WithHold(hold))
+	now := time.Unix(1000, 0)
+	until := now.Add(time.Hour)
+	id := uint64(0)
+	ask := func(endpoint string) string {
+		id++
+		now = now.Add(10 * time.Microsecond)
+		a := host.Ask(now, id, until, 1, "")
+		for _, d := range a.Demands {
+			a = host.Accept(now, credit.Credit{Endpoint: endpoint, Count: 1, Sequence: d.Sequence})
+		}
+		return boundTo(b, a)
+	}
+	names := make([]string, endpoints)
+	for i := range names {
+		names[i] = ask(fmt.Sprintf("e%03d", i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		name := names[i%endpoints]
+		host.Finish(now, name, false)
+		names[i%endpoints] = ask(name)
+	}
+}
+
+func boundTo(b *testing.B, a action.Action) string {
+	if len(a.Bound) != 1 {
+		b.Fatalf("bound %v", a.Bound)
+	}
+	return a.Bound[0].Endpoint
+}
+
+// BenchmarkTick is one look at what the passing of time calls for, with an idle credit for each endpoint.
+func BenchmarkTick(b *testing.B) {
+	for _, endpoints := range []int{4, 40, 400} {
+		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
+			host := borrower.New("b1", borrower.WithHold(time.Hour))
+			now := time.Unix(1000, 0)
+			for i := range endpoints {
+				host.Ask(now, uint64(i), now.Add(time.Hour), 1, "")
+				host.Cancel(now, uint64(i))
+				host.Accept(now, credit.Credit{Endpoint: fmt.Sprintf("e%03d", i), Count: 1, Sequence: uint64(i + 1)})
+			}
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				host.Tick(now)
+			}
+		})
+	}
+}
--- a/lib/lender/endpoint.go
+++ b/lib/lender/endpoint.go
@@ -16,8 +16,9 @@
 	open  bool
 	// listed says that the capacities name the endpoint.
 	listed bool
-	// total is what all loans sum up to.
+	// total is what all loans sum up to, orphaned what lost borrowers have of it.
 	total     int
+	orphaned  int
 	lastGrant uint64
 	warmedAt  time.Time
 	// coldEnds is when the last cold credit can no longer be used.
@@ -80,6 +81,7 @@
 	n.held -= held
 	n.orphaned -= orphaned
 	e.total -= held + orphaned
+	e.orphaned -= orphaned
 	e.drop(borrower, n)
 	return held
 }
@@ -89,6 +91,7 @@
 	n := e.loan(borrower)
 	grown := count - n.held
 	e.total += grown - n.orphaned
+	e.orphaned -= n.orphaned
 	n.held = count
 	n.orphaned = 0
 	e.drop(borrower, n)
@@ -100,6 +103,7 @@
 	if !ok || n.held == 0 {
 		return
 	}
+	e.orphaned += n.held
 	n.orphaned += n.held
 	n.held = 0
 	if until.After(n.orphanedUntil) {
@@ -108,9 +112,13 @@
 }
 
 func (e *endpoint) freeOrphans(now time.Time) {
+	if e.orphaned == 0 {
+		return
+	}
 	for borrower, n := range e.loans {
 		if n.orphaned > 0 && !now.Before(n.orphanedUntil) {
 			e.total -= n.orphaned
+			e.orphaned -= n.orphaned
 			n.orphaned = 0
 			e.drop(borrower, n)
 		}
