Let the hold set a host's patience and recall no more than is needed

Two causes: a holder told of scarcity and then given a credit that was not scarce could not be recalled for 100 ms; and each recall went to every holder, which gave up all idle credits and asked for them again. Ruled out: the time for which scarcity counts (200, 10 and 2 ms differ by a tenth of the bytes).

Change: a recall goes to as many holders as rights wait, those with most credits first, and a credit that is not scarce ends the rate limit. A host with requests in flight waits for a tenth of the hold, at most 20 ms and a quarter of the request's time, for one of its own credits before it asks the owner.

--- a/lib/borrower/asking.go
+++ b/lib/borrower/asking.go
@@ -10,10 +10,43 @@
 // mergeWithin is how far apart the deadlines of requests may be that one demand stands for.
 const mergeWithin = 20 * time.Millisecond
 
+// patience returns how long a request waits for a credit of its own host.
+func (b *Borrower) patience(left time.Duration) time.Duration {
+	return min(b.hold/patienceShare, b.maxPatience, left/deadlineShare)
+}
+
+// want notes the requests whose patience is over, which is so for all where no request in flight could free a credit.
+func (b *Borrower) want(now time.Time) {
+	if b.running > 0 {
+		b.patient.Expire(now, func(id uint64, _ struct{}) { b.count(id) })
+		return
+	}
+	for _, id := range b.patient.All() {
+		b.patient.Remove(id)
+		b.count(id)
+	}
+}
+
+func (b *Borrower) count(id uint64) {
+	if key, ok := b.waiting.Get(id); ok {
+		b.wanted[key]++
+	}
+}
+
+func (b *Borrower) unwant(id uint64, key bucket) {
+	if _, ok := b.patient.Remove(id); ok {
+		return
+	}
+	b.wanted[key]--
+	if b.wanted[key] == 0 {
+		delete(b.wanted, key)
+	}
+}
+
 // demandFor asks for one more right if the given request waits without one.
 func (b *Borrower) demandFor(now time.Time, a *action.Action, id uint64) {
 	key, waits := b.waiting.Get(id)
-	if !waits || b.missing(key) <= 0 {
+	if !waits || b.patient.Has(id) || b.missing(key) <= 0 {
 		return
 	}
 	a.Demands = append(a.Demands, b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id), 1))
@@ -27,8 +60,7 @@
 	var pending []demand.Demand
 	for _, id := range b.waiting.All() {
 		key, _ := b.waiting.Get(id)
-		lacking := b.missing(key)
-		if lacking <= 0 {
+		if b.patient.Has(id) || b.missing(key) <= 0 {
 			continue
 		}
 		asked := b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id), 1)
--- a/lib/borrower/bench_test.go
+++ b/lib/borrower/bench_test.go
@@ -22,7 +22,7 @@
 }
 
 func benchmarkRequest(b *testing.B, endpoints int, hold time.Duration) {
-	host := borrower.New("b1", borrower.WithHold(hold))
+	host := borrower.New("b1", borrower.WithHold(hold), borrower.WithMaxPatience(0))
 	now := time.Unix(1000, 0)
 	until := now.Add(time.Hour)
 	id := uint64(0)
--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -16,16 +16,21 @@
 //
 // A Borrower is not safe for concurrent use.
 type Borrower struct {
-	hold      time.Duration
-	scarceFor time.Duration
-
-	waiting  *waitlist.Waitlist[uint64, bucket]
+	hold        time.Duration
+	scarceFor   time.Duration
+	maxPatience time.Duration
+
+	waiting *waitlist.Waitlist[uint64, bucket]
+	// patient holds the waiting requests for which the owner is not to be asked yet.
+	patient *waitlist.Waitlist[uint64, struct{}]
+	// wanted counts the other waiting requests.
 	wanted   map[bucket]int
 	asked    ledger
 	accounts map[string]*account
 	// ordered holds the accounts by endpoint, so that one trace has one outcome.
 	ordered     []*account
 	idle        int
+	running     int
 	capacities  map[string]capacity.Capacity
 	scarceUntil time.Time
 	// refused is the endpoint whose credit was last sent back unused, which new demands exclude.
@@ -35,12 +40,14 @@
 // New returns a Borrower of the given name that has no credits.
 func New(name string, options ...Option) *Borrower {
 	b := &Borrower{
-		hold:      defaultHold,
-		scarceFor: defaultScarceFor,
-		waiting:   waitlist.New[uint64, bucket](),
-		wanted:    make(map[bucket]int),
-		asked:     newLedger(name),
-		accounts:  make(map[string]*account),
+		hold:        defaultHold,
+		scarceFor:   defaultScarceFor,
+		maxPatience: defaultMaxPatience,
+		waiting:     waitlist.New[uint64, bucket](),
+		patient:     waitlist.New[uint64, struct{}](),
+		wanted:      make(map[bucket]int),
+		asked:       newLedger(name),
+		accounts:    make(map[string]*account),
 	}
 	for _, option := range options {
 		option(b)
@@ -58,8 +65,9 @@
 	b.unwait(id)
 	key := bucket{urgency: min(max(urgency, 0), urgencies-1), excluded: excluded}
 	b.waiting.Push(id, key, key.urgency, until)
-	b.wanted[key]++
+	b.patient.Push(id, struct{}{}, 0, now.Add(b.patience(until.Sub(now))))
 	b.serve(now, &a)
+	b.want(now)
 	b.demandFor(now, &a, id)
 	return a
 }
@@ -116,6 +124,9 @@
 }
 
 // SetHold sets how long an idle credit is kept; zero asks the owner anew for each request.
+//
+// While others wait no credit is used for longer than that. A host with requests in flight waits for a tenth of it
+// for one of their credits before it asks for another, at most for the maximal patience.
 func (b *Borrower) SetHold(d time.Duration) {
 	b.hold = d
 }
--- a/lib/borrower/flow.go
+++ b/lib/borrower/flow.go
@@ -14,6 +14,7 @@
 	b.serve(now, a)
 	b.releaseStale(now, a)
 	a.Demands = append(a.Demands, b.asked.sweep(now, b.waiting.Len() > 0)...)
+	b.want(now)
 	b.demandMissing(now, a)
 }
 
@@ -36,6 +37,7 @@
 		b.unwait(id)
 		chosen.start()
 		b.idle--
+		b.running++
 		a.Bound = append(a.Bound, binding.Binding{ID: id, Endpoint: chosen.id})
 	}
 }
@@ -84,6 +86,7 @@
 	}
 	b.unwait(id)
 	n.cold++
+	b.running++
 	a.Bound = append(a.Bound, binding.Binding{ID: id, Endpoint: n.id, Cold: true, Until: c.Until})
 }
 
@@ -91,6 +94,7 @@
 func (b *Borrower) finish(now time.Time, a *action.Action, n *account, cold bool) {
 	if n.cold > 0 && (cold || len(n.warm) == 0) {
 		n.finishCold()
+		b.running--
 		b.giveBack(a, n, 1)
 		return
 	}
@@ -98,6 +102,7 @@
 		return
 	}
 	grantedAt, carried := n.finishWarm()
+	b.running--
 	if cold {
 		b.releaseIdle(a, n, now)
 	}
@@ -155,20 +160,13 @@
 
 func (b *Borrower) expire(now time.Time, a *action.Action) {
 	b.waiting.Expire(now, func(id uint64, key bucket) {
-		b.unwant(key)
+		b.unwant(id, key)
 		a.Expired = append(a.Expired, id)
 	})
 }
 
 func (b *Borrower) unwait(id uint64) {
 	if key, ok := b.waiting.Remove(id); ok {
-		b.unwant(key)
-	}
-}
-
-func (b *Borrower) unwant(key bucket) {
-	b.wanted[key]--
-	if b.wanted[key] == 0 {
-		delete(b.wanted, key)
+		b.unwant(id, key)
 	}
 }
--- a/lib/borrower/replay_test.go
+++ b/lib/borrower/replay_test.go
@@ -40,6 +40,23 @@
 	Expired  []uint64   `json:"expired"`
 }
 
+// settings is the first line of a trace.
+type settings struct {
+	HoldUS        int64 `json:"hold_us"`
+	MaxPatienceUS int64 `json:"max_patience_us"`
+	ScarceForUS   int64 `json:"scarce_for_us"`
+	ResendUS      int64 `json:"resend_us"`
+}
+
+func (s settings) borrower() *borrower.Borrower {
+	return borrower.New("b1",
+		borrower.WithHold(time.Duration(s.HoldUS)*time.Microsecond),
+		borrower.WithMaxPatience(time.Duration(s.MaxPatienceUS)*time.Microsecond),
+		borrower.WithScarceFor(time.Duration(s.ScarceForUS)*time.Microsecond),
+		borrower.WithResend(time.Duration(s.ResendUS)*time.Microsecond),
+	)
+}
+
 type bound struct {
 	ID       uint64 `json:"id"`
 	Endpoint string `json:"endpoint"`
@@ -129,9 +146,12 @@
 	file, err := os.Open(path)
 	c.Assert(err, qt.IsNil)
 	defer file.Close()
-	b := borrower.New("b1", borrower.WithHold(10*time.Millisecond), borrower.WithResend(50*time.Millisecond))
 	lines := bufio.NewScanner(file)
-	for n := 1; lines.Scan(); n++ {
+	c.Assert(lines.Scan(), qt.IsTrue)
+	var s settings
+	c.Assert(json.Unmarshal(lines.Bytes(), &s), qt.IsNil)
+	b := s.borrower()
+	for n := 2; lines.Scan(); n++ {
 		var e event
 		c.Assert(json.Unmarshal(lines.Bytes(), &e), qt.IsNil, qt.Commentf("line %d", n))
 		got := outcome(e.apply(b))
--- a/lib/lender/account.go
+++ b/lib/lender/account.go
@@ -1,6 +1,7 @@
 package lender
 
 import (
+	"cmp"
 	"time"
 
 	"poplarhook.example/lib/credit"
@@ -13,7 +14,7 @@
 type account struct {
 	waiting int
 	held    int
-	// toldAt is when the borrower last heard that credits are scarce.
+	// toldAt is when the borrower last heard that credits are scarce, zero if it has heard since that they are not.
 	toldAt  time.Time
 	answers map[uint64]credit.Credit
 	order   []uint64
@@ -38,3 +39,18 @@
 	delete(a.answers, oldest)
 	a.floor = max(a.floor, oldest)
 }
+
+// holder is a borrower that may have idle credits.
+type holder struct {
+	id      string
+	account *account
+}
+
+// compare puts first the one with most credits for what it waits for, then the one told longest ago.
+func (h holder) compare(other holder) int {
+	return cmp.Or(
+		cmp.Compare(other.account.held-other.account.waiting, h.account.held-h.account.waiting),
+		h.account.toldAt.Compare(other.account.toldAt),
+		cmp.Compare(h.id, other.id),
+	)
+}
--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -147,6 +147,7 @@
 	for _, c := range credits {
 		a := l.account(c.Borrower)
 		c = c.WithScarce(l.isScarceFor(a))
+		a.toldAt = time.Time{}
 		if c.Scarce {
 			a.toldAt = now
 		}
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -15,8 +15,8 @@
 // maxCount is the most rights that one demand may ask for.
 const maxCount = 1024
 
-// excessIntervals is how many recall intervals pass between recalls of an endpoint that bears less than before.
-const excessIntervals = 10
+// excessInterval is the least time between recalls of an endpoint that bears less than before.
+const excessInterval = time.Second
 
 // Lender lends the capacity of a group's endpoints to borrowers, as credits.
 //
@@ -138,7 +138,7 @@
 
 // Recalls returns the borrowers to ask for their idle credits, each at most once per recall interval.
 //
-// They hold credits while others wait or, less often, hold more than an endpoint may bear now.
+// One is asked for each right that waits, or for holding, less often, more than an endpoint may bear now.
 func (l *Lender) Recalls(now time.Time) []string {
 	l.expire(now)
 	var borrowers []string
@@ -152,14 +152,25 @@
 	return slices.Compact(borrowers)
 }
 
+// scarceHolders returns as many holders as rights wait, less those that were told a moment ago.
 func (l *Lender) scarceHolders(now time.Time) []string {
-	var borrowers []string
+	var holders []holder
+	needed := l.waiting.Len()
 	for id, a := range l.accounts {
-		if a.held > 0 && l.isScarceFor(a) && now.Sub(a.toldAt) >= l.recallInterval {
-			a.toldAt = now
-			borrowers = append(borrowers, id)
+		switch {
+		case a.held == 0 || !l.isScarceFor(a):
+		case now.Sub(a.toldAt) < l.recallInterval:
+			needed--
+		default:
+			holders = append(holders, holder{id: id, account: a})
 		}
 	}
+	slices.SortFunc(holders, holder.compare)
+	var borrowers []string
+	for _, h := range holders[:max(min(needed, len(holders)), 0)] {
+		h.account.toldAt = now
+		borrowers = append(borrowers, h.id)
+	}
 	return borrowers
 }
 
@@ -171,7 +182,7 @@
 		}
 		for id, n := range e.loans {
 			a := l.account(id)
-			if n.held > 0 && now.Sub(a.toldAt) >= l.recallInterval*excessIntervals {
+			if n.held > 0 && now.Sub(a.toldAt) >= excessInterval {
 				a.toldAt = now
 				borrowers = append(borrowers, id)
 			}
--- a/lib/lender/options.go
+++ b/lib/lender/options.go
@@ -5,7 +5,7 @@
 const (
 	defaultColdValidity   = time.Second
 	defaultTrickle        = 50 * time.Millisecond
-	defaultRecallInterval = 100 * time.Millisecond
+	defaultRecallInterval = 5 * time.Millisecond
 )
 
 // Option changes a setting of a Lender.
