Add the fleet that runs a deployment as separate processes

Integration tests and the demonstration need the platform, the endpoints and the entry hosts as processes that can be killed, frozen and stopped by their own ids. The fleet starts them from built programs, lists them at the platform, applies the configuration through the store, waits for readiness and stops layer by layer in bounded time. Its tests run the stand-ins alone; they cover a program that hangs at its start.

--- /dev/null
+++ b/tests/fleet/control.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/poplarbench/collector"
+	"poplarhook.example/poplarbench/execution"
+)
+
+const (
+	readyPoll    = 20 * time.Millisecond
+	callTimeout  = 5 * time.Second
+	maxCallBytes = 64 << 20
+)
+
+// PutHost adds a host to the platform's list or replaces it.
+func (f *Fleet) PutHost(ctx context.Context, h host.Host) error {
+	return post(ctx, f.PlatformURL()+"/standin/hosts", h)
+}
+
+// RemoveHost takes a host off the platform's list.
+func (f *Fleet) RemoveHost(ctx context.Context, id string) error {
+	_, err := call(ctx, http.MethodDelete, f.PlatformURL()+"/standin/hosts/"+id, nil)
+	return err
+}
+
+// ControlPlatform sets faults of the platform stand-in, by a value that encodes to their JSON.
+func (f *Fleet) ControlPlatform(ctx context.Context, faults any) error {
+	return post(ctx, f.PlatformURL()+"/standin/control", faults)
+}
+
+// ControlEndpoint sets faults of one endpoint, by a value that encodes to their JSON.
+func (f *Fleet) ControlEndpoint(ctx context.Context, id string, faults any) error {
+	control, known := f.controlOf[id]
+	if !known {
+		return errors.Wrapf(ErrUnknown, "endpoint %q", id)
+	}
+	return post(ctx, "http://"+control+"/standin/control?id="+id, faults)
+}
+
+// ControlEndpoints sets faults of every endpoint, by a value that encodes to their JSON.
+func (f *Fleet) ControlEndpoints(ctx context.Context, faults any) error {
+	for _, control := range f.controls {
+		if err := post(ctx, "http://"+control+"/standin/control", faults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Executions returns the execution records of every endpoint.
+func (f *Fleet) Executions(ctx context.Context) ([]execution.Execution, error) {
+	return collector.New(http.DefaultClient).Executions(ctx, f.controls...)
+}
+
+// Get returns the body of a 200 from a URL of any process of the fleet.
+func (f *Fleet) Get(ctx context.Context, url string) ([]byte, error) {
+	return call(ctx, http.MethodGet, url, nil)
+}
+
+// WaitReady waits until every entry host answers that it is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, entry := range f.Entries() {
+		if err := waitReady(ctx, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func waitReady(ctx context.Context, entry host.Host) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		_, err := call(ctx, http.MethodGet, "http://"+entry.AdminAddress+"/readyz", nil)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "entry host %s is not ready", entry.ID)
+		case <-ticker.C:
+		}
+	}
+}
+
+func post(ctx context.Context, url string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrapf(err, "posting to %s", url)
+	}
+	_, err = call(ctx, http.MethodPost, url, text)
+	return err
+}
+
+func call(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "calling %s", url)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "calling %s", url)
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxCallBytes))
+	if err != nil {
+		return nil, errors.Wrapf(err, "reading %s", url)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, errors.Wrapf(ErrRefused, "%s %s: status %d: %s", method, url, response.StatusCode, strings.TrimSpace(string(text)))
+	}
+	return text, nil
+}
--- /dev/null
+++ b/tests/fleet/fleet.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/storer"
+	"poplarhook.example/tests/applier"
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/process"
+)
+
+const (
+	defaultEntries      = 6
+	defaultStartTimeout = 20 * time.Second
+	defaultStopTimeout  = 15 * time.Second
+)
+
+// PlatformName is the name of the platform stand-in's process.
+const PlatformName = "platform"
+
+var (
+	// ErrUnknown is returned for the name of a process or host that the fleet does not have.
+	ErrUnknown = errors.New("unknown to the fleet")
+	// ErrRefused is returned when a stand-in refuses a call.
+	ErrRefused = errors.New("refused by a stand-in")
+)
+
+// Fleet is a running deployment.
+type Fleet struct {
+	bin               string
+	deployment        deployment.Deployment
+	entryCount        int
+	policy            string
+	logFolder         string
+	ownsLogFolder     bool
+	entryArguments    []string
+	endpointArguments []string
+	splitZones        bool
+	startTimeout      time.Duration
+	stopTimeout       time.Duration
+	clock             func() time.Time
+
+	platform  string
+	controls  []string
+	controlOf map[string]string
+	store     *storer.Storer
+	applier   *applier.Applier
+
+	mu        sync.Mutex
+	entries   []host.Host
+	endpoints []host.Host
+	processes []*process.Process
+}
+
+// Option changes a fleet before it starts.
+type Option func(*Fleet)
+
+// WithEntries sets the number of entry hosts, 6 by default.
+func WithEntries(count int) Option {
+	return func(f *Fleet) { f.entryCount = count }
+}
+
+// WithPolicy sets how entry hosts choose endpoints: owner, two_choices or random.
+func WithPolicy(policy string) Option {
+	return func(f *Fleet) { f.policy = policy }
+}
+
+// WithLogFolder keeps the output of all processes in a folder; by default it is a temporary one, removed
+// after a stop without failure.
+func WithLogFolder(folder string) Option {
+	return func(f *Fleet) { f.logFolder = folder }
+}
+
+// WithEntryArguments adds arguments to the command line of each entry host.
+func WithEntryArguments(arguments ...string) Option {
+	return func(f *Fleet) { f.entryArguments = append(f.entryArguments, arguments...) }
+}
+
+// WithEndpointArguments adds arguments to the command line of each endpoint stand-in.
+func WithEndpointArguments(arguments ...string) Option {
+	return func(f *Fleet) { f.endpointArguments = append(f.endpointArguments, arguments...) }
+}
+
+// WithEndpointProcessPerZone plays the endpoints of each availability zone in a process of its own.
+func WithEndpointProcessPerZone() Option {
+	return func(f *Fleet) { f.splitZones = true }
+}
+
+// WithStartTimeout bounds the start, 20 s by default.
+func WithStartTimeout(timeout time.Duration) Option {
+	return func(f *Fleet) { f.startTimeout = timeout }
+}
+
+// WithStopTimeout bounds the graceful stop of each layer of processes, 15 s by default.
+func WithStopTimeout(timeout time.Duration) Option {
+	return func(f *Fleet) { f.stopTimeout = timeout }
+}
+
+// Start starts the deployment from the programs in a folder, applies its configuration and waits until every
+// entry host is ready. After an error no process is left.
+func Start(ctx context.Context, bin string, d deployment.Deployment, options ...Option) (*Fleet, error) {
+	f := &Fleet{
+		bin:          bin,
+		deployment:   d,
+		entryCount:   defaultEntries,
+		startTimeout: defaultStartTimeout,
+		stopTimeout:  defaultStopTimeout,
+		clock:        time.Now,
+		controlOf:    make(map[string]string),
+	}
+	for _, option := range options {
+		option(f)
+	}
+	if err := f.makeLogFolder(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.startTimeout)
+	defer cancel()
+	if err := f.start(ctx); err != nil {
+		f.killAll()
+		return nil, errors.Wrapf(err, "starting the fleet (logs in %s)", f.logFolder)
+	}
+	return f, nil
+}
+
+// EntryAddresses returns the addresses at which callers reach the entry hosts.
+func (f *Fleet) EntryAddresses() []string {
+	var addresses []string
+	for _, entry := range f.Entries() {
+		addresses = append(addresses, entry.Address)
+	}
+	return addresses
+}
+
+// Entries returns the entry hosts with their addresses.
+func (f *Fleet) Entries() []host.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]host.Host(nil), f.entries...)
+}
+
+// Endpoints returns the endpoints with their addresses.
+func (f *Fleet) Endpoints() []host.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]host.Host(nil), f.endpoints...)
+}
+
+// Deployment returns what the fleet runs.
+func (f *Fleet) Deployment() deployment.Deployment {
+	return f.deployment
+}
+
+// LogFolder returns the folder that holds the output of every process.
+func (f *Fleet) LogFolder() string {
+	return f.logFolder
+}
+
+// PlatformURL returns the base URL of the platform stand-in, which is also that of the store.
+func (f *Fleet) PlatformURL() string {
+	return "http://" + f.platform
+}
+
+// HostListURL returns the URL of the platform's host list.
+func (f *Fleet) HostListURL() string {
+	return f.PlatformURL() + "/v1/hosts"
+}
+
+// Controls returns the control addresses of the endpoint stand-ins.
+func (f *Fleet) Controls() []string {
+	return append([]string(nil), f.controls...)
+}
+
+// Applier returns what writes configurations straight into the fleet's store.
+func (f *Fleet) Applier() *applier.Applier {
+	return f.applier
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(ctx); err != nil {
+		return err
+	}
+	if err := f.startEndpoints(ctx); err != nil {
+		return err
+	}
+	if _, err := f.applier.Apply(ctx, f.deployment.Document); err != nil {
+		return errors.Wrap(err, "applying the configuration")
+	}
+	if err := f.startEntries(ctx); err != nil {
+		return err
+	}
+	return f.WaitReady(ctx)
+}
+
+func (f *Fleet) makeLogFolder() error {
+	if f.logFolder != "" {
+		return errors.Wrap(os.MkdirAll(f.logFolder, 0o700), "log folder")
+	}
+	folder, err := os.MkdirTemp("", "poplarhook-fleet-")
+	f.logFolder = folder
+	f.ownsLogFolder = true
+	return errors.Wrap(err, "log folder")
+}
--- /dev/null
+++ b/tests/fleet/fleet_test.go
@@ -0,0 +1,132 @@
+package fleet_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/index"
+	"poplarhook.example/poplarbench/execution"
+	"poplarhook.example/poplarbench/experimenter"
+	"poplarhook.example/poplarbench/scenario"
+	"poplarhook.example/poplarbench/sender"
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/fleet"
+	"poplarhook.example/tests/process"
+)
+
+const processLimit = 5 * time.Second
+
+type endpointFaults struct {
+	Leaving bool `json:"leaving"`
+	Shed    bool `json:"shed"`
+}
+
+func start(c *qt.C, options ...fleet.Option) *fleet.Fleet {
+	bin, err := fleet.Bin()
+	c.Assert(err, qt.IsNil)
+	options = append([]fleet.Option{fleet.WithEntries(0), fleet.WithLogFolder(c.TempDir())}, options...)
+	running, err := fleet.Start(c.Context(), bin, deployment.Kite().WithScale(0.5), options...)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = running.Stop() })
+	return running
+}
+
+func TestStartAndStop(t *testing.T) {
+	c := qt.New(t)
+	running := start(c, fleet.WithEndpointProcessPerZone())
+	c.Assert(running.Processes(), qt.HasLen, 7)
+	c.Assert(running.Controls(), qt.HasLen, 6)
+	c.Assert(running.Endpoints(), qt.HasLen, 8+6+6+6)
+
+	var listed struct {
+		Hosts []host.Host `json:"hosts"`
+	}
+	text, err := running.Get(t.Context(), running.HostListURL())
+	c.Assert(err, qt.IsNil)
+	c.Assert(json.Unmarshal(text, &listed), qt.IsNil)
+	c.Assert(listed.Hosts, qt.HasLen, 26)
+
+	var accepted index.Index
+	text, err = running.Get(t.Context(), running.PlatformURL()+"/v1/objects/"+index.Key)
+	c.Assert(err, qt.IsNil)
+	c.Assert(json.Unmarshal(text, &accepted), qt.IsNil)
+	c.Assert(accepted.Revision, qt.Equals, int64(1))
+	c.Assert(accepted.Documents[0].Team, qt.Equals, "kite")
+
+	c.Assert(running.Stop(), qt.IsNil)
+	for _, p := range running.Processes() {
+		c.Assert(syscall.Kill(p.ID(), 0), qt.Equals, syscall.ESRCH)
+	}
+}
+
+// The generator and the stand-ins agree on ids, answers and records.
+func TestLoadStraightAtAnEndpoint(t *testing.T) {
+	c := qt.New(t)
+	running := start(c)
+	endpoint := running.Endpoints()[0]
+	load := scenario.Scenario{DurationMS: 300, RatePerS: 100, Arrivals: scenario.Constant, Mix: []scenario.Entry{{
+		Name: "order", Weight: 1, Method: http.MethodPost, Path: "/x", OnceOnly: true, IdempotencyKey: true,
+		AnswerBytes: 2000, BodyBytes: 10, Marker: "marked", DeadlineMS: 1000, HomeRegions: []string{endpoint.Region},
+	}}}
+	run := func() (int64, int64, int64) {
+		measured, err := experimenter.New(load, []string{endpoint.Address}, time.Now,
+			experimenter.WithControls(running.Controls()...), experimenter.WithHostList(running.HostListURL()),
+			experimenter.WithSending(sender.WithConnections(4)), experimenter.WithSettle(0)).Run(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Assert(measured.IsClean(), qt.IsTrue)
+		return measured.Sent, measured.Served, measured.NotRun
+	}
+	sent, served, _ := run()
+	c.Assert(served, qt.Equals, sent)
+	executions, err := running.Executions(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(executions, qt.HasLen, int(sent))
+	c.Assert(executions[0].Marker, qt.Equals, "marked")
+	c.Assert(running.ControlEndpoint(t.Context(), endpoint.ID, endpointFaults{Shed: true}), qt.IsNil)
+	sent, _, notRun := run()
+	c.Assert(notRun, qt.Equals, sent)
+	c.Assert(running.ControlEndpoint(t.Context(), "nobody", endpointFaults{}), qt.ErrorIs, fleet.ErrUnknown)
+}
+
+func TestFaults(t *testing.T) {
+	c := qt.New(t)
+	running := start(c, fleet.WithStopTimeout(processLimit))
+	c.Assert(running.Freeze("endpoints"), qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := running.Executions(ctx)
+	c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	c.Assert(running.Thaw("endpoints"), qt.IsNil)
+	executions, err := running.Executions(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(executions, qt.DeepEquals, []execution.Execution(nil))
+	c.Assert(running.Terminate(fleet.PlatformName), qt.IsNil)
+	c.Assert(running.Kill("endpoints"), qt.IsNil)
+	c.Assert(running.Kill("nobody"), qt.ErrorIs, fleet.ErrUnknown)
+	c.Assert(running.Stop(), qt.IsNil)
+}
+
+// A program that prints nothing ends the start in bounded time, and no process is left.
+func TestStartOfProgramsThatHang(t *testing.T) {
+	c := qt.New(t)
+	bin := c.TempDir()
+	pidFile := filepath.Join(bin, "pid")
+	script := "#!/bin/sh\necho $$ > " + pidFile + "\nexec sleep 60\n"
+	c.Assert(os.WriteFile(filepath.Join(bin, "standin"), []byte(script), 0o700), qt.IsNil)
+	_, err := fleet.Start(t.Context(), bin, deployment.Kite(), fleet.WithStartTimeout(300*time.Millisecond), fleet.WithLogFolder(bin))
+	c.Assert(err, qt.ErrorIs, process.ErrNotReady)
+	text, err := os.ReadFile(pidFile)
+	c.Assert(err, qt.IsNil)
+	var pid int
+	c.Assert(json.Unmarshal(text, &pid), qt.IsNil)
+	c.Assert(syscall.Kill(pid, 0), qt.Equals, syscall.ESRCH)
+}
