Add the demonstration and the side by side measurements

make demo runs a deployment with six entry hosts under its mixed load, takes a zone out and brings it back, and fails on anything lost, doubled, falsely called not run, run outside its home regions, or begun in the zone two seconds after it was taken out.

make bench compares the policies under noisy endpoints, during a zone's absence and cold return, and measures the time that an entry host adds.

--- a/poplarbench/runner/runner.go
+++ b/poplarbench/runner/runner.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"poplarhook.example/poplarbench/outcome"
 	"poplarhook.example/poplarbench/scheduler"
 )
 
-// outcomeBuffer lets requests end while the owner is busy.
-const outcomeBuffer = 1024
+const (
+	// outcomeBuffer lets requests end while the owner is busy.
+	outcomeBuffer = 1024
+	// timerGrain is how late a timer of the runtime may fire; the last part of a wait sleeps in the kernel instead.
+	timerGrain = 2 * time.Millisecond
+)
 
 // Schedule yields arrivals in order of time until none is left.
 type Schedule interface {
@@ -71,16 +76,23 @@
 }
 
 func (r *Runner) waitUntil(ctx context.Context, at time.Time) bool {
-	wait := at.Sub(r.clock())
-	if wait <= 0 {
-		return ctx.Err() == nil
+	if coarse := at.Sub(r.clock()) - timerGrain; coarse > 0 {
+		timer := time.NewTimer(coarse)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return false
+		}
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	r.sleepUntil(at)
+	return ctx.Err() == nil
+}
+
+// sleepUntil sleeps in the kernel, which wakes within some 0.1 ms; signals may end a sleep early.
+func (r *Runner) sleepUntil(at time.Time) {
+	for rest := at.Sub(r.clock()); rest > 0; rest = at.Sub(r.clock()) {
+		span := syscall.NsecToTimespec(rest.Nanoseconds())
+		_ = syscall.Nanosleep(&span, nil)
 	}
 }
--- /dev/null
+++ b/tests/bench/doc.go
@@ -0,0 +1,2 @@
+// Command bench measures the policies side by side on running fleets.
+package main
--- /dev/null
+++ b/tests/bencher/doc.go
@@ -0,0 +1,2 @@
+// Package bencher measures the policies side by side on running fleets.
+package bencher
--- /dev/null
+++ b/tests/bencher/zone.go
@@ -0,0 +1,153 @@
+package bencher
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/poplarbench/aligner"
+	"poplarhook.example/poplarbench/result"
+	"poplarhook.example/poplarbench/scenario"
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/fleet"
+	"poplarhook.example/tests/spread"
+)
+
+// coldEndpoints start warm, turn cold by a restart, and then bear two requests at once until they answered forty.
+var coldEndpoints = []string{
+	"--start-warm", "--cold-requests", "40", "--cold-limit", "2", "--cold-factor", "3",
+}
+
+// restart ends an endpoint's incarnation, after which it is cold.
+type restart struct {
+	Restart bool `json:"restart"`
+}
+
+// phase is a part of the run by its windows.
+type phase struct {
+	name        string
+	first, last int64
+}
+
+// Zone measures service while an availability zone leaves after a third of the time and returns, cold, after two.
+func (b *Bencher) Zone(ctx context.Context) error {
+	load, err := b.load("zone")
+	if err != nil {
+		return err
+	}
+	var all []result.Result
+	err = b.each(func(seed uint64, policy string) error {
+		measured, err := b.zoneRun(ctx, load.WithSeed(seed), policy)
+		if err != nil {
+			return err
+		}
+		all = append(all, measured)
+		b.say("zone %s seed %d: served %d of %d, p99 %.1f ms", policy, seed, measured.Served, measured.Sent, measured.P99MS)
+		return b.write(fmt.Sprintf("zone-%s-%d", policy, seed), measured)
+	})
+	if err != nil {
+		return err
+	}
+	return b.zoneTable(load.Duration(), all)
+}
+
+func (b *Bencher) zoneRun(ctx context.Context, load scenario.Scenario, policy string) (result.Result, error) {
+	running, err := fleet.Start(ctx, b.bin, deployment.Kite(),
+		fleet.WithEntries(b.entries),
+		fleet.WithPolicy(policy),
+		fleet.WithEndpointArguments(coldEndpoints...),
+		fleet.WithEndpointArguments("--seed", fmt.Sprint(load.Seed)),
+	)
+	if err != nil {
+		return result.Result{}, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	zoneEnd := make(chan error, 1)
+	go func() { zoneEnd <- moveZone(ctx, running, load.Duration()) }()
+	measured, err := b.offer(ctx, running, load, policy)
+	if err != nil {
+		cancel()
+	}
+	if zoneErr := <-zoneEnd; err == nil {
+		err = zoneErr
+	}
+	return measured, stop(running, err)
+}
+
+// moveZone takes the deployment's fourth zone, the second of its first region, out and back.
+func moveZone(ctx context.Context, running *fleet.Fleet, duration time.Duration) error {
+	zone := running.Deployment().Zones[3].Name
+	if err := wait(ctx, warmUp+duration/3); err != nil {
+		return err
+	}
+	if _, err := running.Applier().SetZonesOut(ctx, zone); err != nil {
+		return errors.Wrapf(err, "taking %s out", zone)
+	}
+	if err := wait(ctx, duration/3); err != nil {
+		return err
+	}
+	for _, endpoint := range running.Endpoints() {
+		if endpoint.AvailabilityZone != zone {
+			continue
+		}
+		if err := running.ControlEndpoint(ctx, endpoint.ID, restart{Restart: true}); err != nil {
+			return err
+		}
+	}
+	_, err := running.Applier().SetZonesOut(ctx)
+	return errors.Wrapf(err, "bringing %s back", zone)
+}
+
+func (b *Bencher) zoneTable(duration time.Duration, all []result.Result) error {
+	third := int64(duration / time.Second / 3)
+	phases := []phase{{"before", 0, third - 1}, {"out", third, 2*third - 1}, {"back", 2 * third, 3*third - 1}}
+	table := aligner.New()
+	table.Addf("policy\tphase\tmedian p99_ms of windows\tworst p99_ms of windows\trefusals\tbroken\t")
+	for _, policy := range b.policies {
+		for _, p := range phases {
+			b.phaseRow(table, all, policy, p)
+		}
+	}
+	b.say("\nzone out and back: windows of one second, middle [lowest-highest] of %d seeds, %d entry hosts", len(b.seeds), b.entries)
+	_, err := table.WriteTo(b.out)
+	return errors.Wrap(err, "zone")
+}
+
+func (b *Bencher) phaseRow(table *aligner.Aligner, all []result.Result, policy string, p phase) {
+	var middles, worsts, refusals, broken []float64
+	for _, r := range all {
+		if r.Label != policy {
+			continue
+		}
+		var p99 []float64
+		var refused, failed int64
+		for _, window := range r.Windows {
+			if window.Second >= p.first && window.Second <= p.last {
+				p99 = append(p99, window.P99MS)
+				refused += window.Refusals
+				failed += window.Broken
+			}
+		}
+		inRun := spread.New(p99...)
+		middles = append(middles, inRun.Middle)
+		worsts = append(worsts, inRun.Highest)
+		refusals = append(refusals, float64(refused))
+		broken = append(broken, float64(failed))
+	}
+	table.Addf("%s\t%s\t%s\t%s\t%s\t%s\t", policy, p.name, spread.New(middles...), spread.New(worsts...),
+		spread.New(refusals...), spread.New(broken...))
+}
+
+func wait(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/tests/demo/main.go
+++ b/tests/demo/main.go
@@ -1,4 +1,105 @@
 package main
 
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"poplarhook.example/poplarbench/scenario"
+	"poplarhook.example/tests/demonstrator"
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/mix"
+	"poplarhook.example/tests/verdict"
+)
+
+const (
+	kite          = "kite"
+	brandstaetter = "brandstaetter"
+	minDuration   = time.Second
+	maxDuration   = time.Hour
+)
+
+var errFlag = errors.New("invalid flag")
+
+type settings struct {
+	duration   time.Duration
+	bin        string
+	deployment string
+	logs       string
+}
+
 func main() {
+	s := settings{duration: 10 * time.Second, bin: "bin", deployment: kite}
+	if err := s.parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	shown, err := demonstrate(ctx, s)
+	stop()
+	if err != nil {
+		shown = shown.WithFailure(err)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(shown); err != nil || !shown.IsGood() {
+		os.Exit(1)
+	}
+}
+
+func (s *settings) parse(arguments []string) error {
+	parser := flaggy.NewParser("demo")
+	parser.Description = "run a deployment against stand-ins while an availability zone leaves and returns"
+	parser.DisableShowVersionWithVersion()
+	parser.Duration(&s.duration, "", "duration", "how long load is offered")
+	parser.String(&s.bin, "", "bin", "folder of the built programs")
+	parser.String(&s.deployment, "", "deployment", "kite or brandstaetter")
+	parser.String(&s.logs, "", "logs", "folder for the output of the processes; temporary when empty")
+	if err := parser.ParseArgs(arguments); err != nil {
+		return errors.Wrap(err, "reading the arguments")
+	}
+	if s.duration < minDuration || s.duration > maxDuration {
+		return errors.Wrapf(errFlag, "--duration: value %s, allowed: %s to %s", s.duration, minDuration, maxDuration)
+	}
+	if s.deployment != kite && s.deployment != brandstaetter {
+		return errors.Wrapf(errFlag, "--deployment: value %q, allowed: %s, %s", s.deployment, kite, brandstaetter)
+	}
+	return nil
+}
+
+// demonstrate keeps the processes' output only when the folder was asked for or something failed.
+func demonstrate(ctx context.Context, s settings) (verdict.Verdict, error) {
+	bin, err := filepath.Abs(s.bin)
+	if err != nil {
+		return verdict.Verdict{}, errors.Wrap(err, "--bin")
+	}
+	logs := s.logs
+	if logs == "" {
+		if logs, err = os.MkdirTemp("", "poplarhook-demo-"); err != nil {
+			return verdict.Verdict{}, errors.Wrap(err, "log folder")
+		}
+	}
+	d, load := chosen(s.deployment)
+	shown := demonstrator.New(d, load, bin, logs, os.Stdout, time.Now).Run(ctx, s.duration)
+	if !shown.IsGood() {
+		fmt.Fprintln(os.Stderr, "demo: the processes' output is in", logs)
+		return shown, nil
+	}
+	if s.logs == "" {
+		return shown, errors.Wrap(os.RemoveAll(logs), "log folder")
+	}
+	return shown, nil
+}
+
+func chosen(name string) (deployment.Deployment, []scenario.Entry) {
+	if name == brandstaetter {
+		return deployment.Brandstaetter(), mix.Brandstaetter()
+	}
+	return deployment.Kite(), mix.Kite()
 }
--- /dev/null
+++ b/tests/demonstrator/doc.go
@@ -0,0 +1,2 @@
+// Package demonstrator shows a deployment under load while an availability zone leaves and returns.
+package demonstrator
--- /dev/null
+++ b/tests/spread/doc.go
@@ -0,0 +1,2 @@
+// Package spread holds the lowest, middle and highest of several measurements.
+package spread
--- a/tests/verdict/verdict.go
+++ b/tests/verdict/verdict.go
@@ -4,19 +4,21 @@
 
 // Verdict is what a demonstration has shown.
 type Verdict struct {
-	Sent               int64   `json:"sent"`
-	Served             int64   `json:"served"`
-	NotRun             int64   `json:"not_run"`
-	Unknown            int64   `json:"unknown"`
-	Broken             int64   `json:"broken"`
-	WrongAnswer        int64   `json:"wrong_answer"`
-	Lost               int64   `json:"lost"`
-	Doubled            int64   `json:"doubled"`
-	FalseNotRun        int64   `json:"false_not_run"`
-	ServedAgainstClass int64   `json:"served_against_class"`
-	ExtraExecutions    int64   `json:"extra_executions"`
-	P50MS              float64 `json:"p50_ms"`
-	P99MS              float64 `json:"p99_ms"`
+	Sent               int64 `json:"sent"`
+	Served             int64 `json:"served"`
+	NotRun             int64 `json:"not_run"`
+	Unknown            int64 `json:"unknown"`
+	Broken             int64 `json:"broken"`
+	WrongAnswer        int64 `json:"wrong_answer"`
+	Lost               int64 `json:"lost"`
+	Doubled            int64 `json:"doubled"`
+	FalseNotRun        int64 `json:"false_not_run"`
+	ServedAgainstClass int64 `json:"served_against_class"`
+	ExtraExecutions    int64 `json:"extra_executions"`
+	// ZoneOutExecutions counts executions that began in the zone that was out, later than the grace allows.
+	ZoneOutExecutions int64   `json:"zone_out_executions"`
+	P50MS             float64 `json:"p50_ms"`
+	P99MS             float64 `json:"p99_ms"`
 	// Failure says what kept the demonstration from its end, empty when nothing did.
 	Failure string `json:"failure,omitempty"`
 }
@@ -40,6 +42,12 @@
 	}
 }
 
+// WithZoneOutExecutions returns a copy with the count of executions in the zone that was out.
+func (v Verdict) WithZoneOutExecutions(count int64) Verdict {
+	v.ZoneOutExecutions = count
+	return v
+}
+
 // WithFailure returns a copy that says what failed.
 func (v Verdict) WithFailure(err error) Verdict {
 	v.Failure = err.Error()
@@ -48,6 +56,6 @@
 
 // IsGood reports whether requests were served, each as its class permits, and nothing failed.
 func (v Verdict) IsGood() bool {
-	broken := v.Lost + v.Doubled + v.FalseNotRun + v.ServedAgainstClass + v.WrongAnswer
+	broken := v.Lost + v.Doubled + v.FalseNotRun + v.ServedAgainstClass + v.WrongAnswer + v.ZoneOutExecutions
 	return v.Failure == "" && v.Served > 0 && broken == 0
 }
--- a/tests/verdict/verdict_test.go
+++ b/tests/verdict/verdict_test.go
@@ -22,6 +22,7 @@
 	}
 	qt.Assert(t, verdict.New(good).IsGood(), qt.IsTrue)
 	qt.Assert(t, verdict.New(good).WithFailure(errors.New("hung")).IsGood(), qt.IsFalse)
+	qt.Assert(t, verdict.New(good).WithZoneOutExecutions(1).IsGood(), qt.IsFalse)
 	for _, totals := range bad {
 		qt.Assert(t, verdict.New(result.Result{Totals: totals}).IsGood(), qt.IsFalse)
 	}
