--- a/poplarbench/collector/collector.go
+++ b/poplarbench/collector/collector.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"poplarhook.example/lib/host"
-	"poplarhook.example/poplarbench/execution"
+	"poplarhook.example/poplarbench/ledger"
 )
 
 // ErrAnswer is returned when a stand-in answers with another status than 200.
@@ -24,17 +24,15 @@
 	return &Collector{client: client}
 }
 
-// Executions returns the records of the endpoint stand-ins at the control addresses.
-func (c *Collector) Executions(ctx context.Context, addresses ...string) ([]execution.Execution, error) {
-	var all []execution.Execution
+// Ledger returns what the endpoint stand-ins at the control addresses have recorded together.
+func (c *Collector) Ledger(ctx context.Context, addresses ...string) (ledger.Ledger, error) {
+	var all ledger.Ledger
 	for _, address := range addresses {
-		var answer struct {
-			Executions []execution.Execution `json:"executions"`
+		var one ledger.Ledger
+		if err := c.get(ctx, "http://"+address+"/standin/executions", &one); err != nil {
+			return ledger.Ledger{}, err
 		}
-		if err := c.get(ctx, "http://"+address+"/standin/executions", &answer); err != nil {
-			return nil, err
-		}
-		all = append(all, answer.Executions...)
+		all = all.Plus(one)
 	}
 	return all, nil
 }
--- a/poplarbench/experimenter/experimenter.go
+++ b/poplarbench/experimenter/experimenter.go
@@ -9,7 +9,7 @@
 
 	"poplarhook.example/poplarbench/accountant"
 	"poplarhook.example/poplarbench/collector"
-	"poplarhook.example/poplarbench/execution"
+	"poplarhook.example/poplarbench/ledger"
 	"poplarhook.example/poplarbench/locator"
 	"poplarhook.example/poplarbench/outcome"
 	"poplarhook.example/poplarbench/recorder"
@@ -104,13 +104,12 @@
 	if len(e.controls) == 0 {
 		return measured, nil
 	}
-	executions, err := e.executions(ctx, start)
+	records, err := e.ledger(ctx, start)
 	if err != nil {
 		return measured, err
 	}
-	measured.Executions = accountant.Classes(executions)
-	accounts := accountant.New(e.scenario.Mix, regions...).Accounts(outcomes, executions)
-	return measured.WithAccount(accounts), nil
+	accounts := accountant.New(e.scenario.Mix, regions...).Accounts(outcomes, records.Executions)
+	return measured.WithAccount(accounts).WithLedger(accountant.Classes(records.Executions), records), nil
 }
 
 func (e *Experimenter) record(outcomes []outcome.Outcome) result.Result {
@@ -138,8 +137,8 @@
 	return []accountant.Option{accountant.WithRegions(locator.New(hosts))}, nil
 }
 
-// executions returns the records of work that started after the start of the run.
-func (e *Experimenter) executions(ctx context.Context, start time.Time) ([]execution.Execution, error) {
+// ledger returns the endpoints' records, with the work that started after the start of the run.
+func (e *Experimenter) ledger(ctx context.Context, start time.Time) (ledger.Ledger, error) {
 	// Records count also after a cancelled run, so only their own timeout ends the fetching.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), collectTimeout)
 	defer cancel()
@@ -147,15 +146,6 @@
 	case <-time.After(e.settle):
 	case <-ctx.Done():
 	}
-	all, err := collector.New(http.DefaultClient).Executions(ctx, e.controls...)
-	if err != nil {
-		return nil, errors.Wrap(err, "fetching execution records")
-	}
-	var own []execution.Execution
-	for _, record := range all {
-		if record.StartedUnixUS >= start.UnixMicro() {
-			own = append(own, record)
-		}
-	}
-	return own, nil
+	all, err := collector.New(http.DefaultClient).Ledger(ctx, e.controls...)
+	return all.Since(start.UnixMicro()), errors.Wrap(err, "fetching execution records")
 }
--- a/poplarbench/experimenter/experimenter_test.go
+++ b/poplarbench/experimenter/experimenter_test.go
@@ -14,6 +14,7 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarbench/execution"
 	"poplarhook.example/poplarbench/experimenter"
+	"poplarhook.example/poplarbench/ledger"
 	"poplarhook.example/poplarbench/scenario"
 )
 
@@ -28,9 +29,7 @@
 	defer f.mu.Unlock()
 	switch r.URL.Path {
 	case "/standin/executions":
-		_ = json.NewEncoder(w).Encode(struct {
-			Executions []execution.Execution `json:"executions"`
-		}{f.executions})
+		_ = json.NewEncoder(w).Encode(ledger.Ledger{Executions: f.executions, FellOver: 2, ColdPeakInFlight: 5})
 	case "/v1/hosts":
 		_ = json.NewEncoder(w).Encode(struct {
 			Hosts []host.Host `json:"hosts"`
@@ -67,6 +66,8 @@
 	c.Assert(measured.ServedAgainstClass, qt.Equals, orders)
 	c.Assert(measured.Executions, qt.HasLen, 1)
 	c.Assert(measured.Executions[0].Executions, qt.Equals, 2*orders)
+	c.Assert(measured.FellOver, qt.Equals, int64(2))
+	c.Assert(measured.ColdPeakInFlight, qt.Equals, int64(5))
 	c.Assert(measured.IsClean(), qt.IsFalse)
 	c.Assert(measured.P50MS > 0, qt.IsTrue)
 }
--- a/poplarbench/result/result.go
+++ b/poplarbench/result/result.go
@@ -1,5 +1,7 @@
 package result
 
+import "poplarhook.example/poplarbench/ledger"
+
 // Result is the measured result of a run.
 type Result struct {
 	// Label names the run in tables, such as the policy under test.
@@ -18,6 +20,12 @@
 	Mix           []EntryTotals     `json:"mix"`
 	Windows       []Window          `json:"windows"`
 	Executions    []ClassExecutions `json:"executions"`
+	// FellOver counts the times that a cold endpoint received more than it bears, since the endpoints started.
+	FellOver int64 `json:"fell_over"`
+	// ColdPeakInFlight is the most requests in flight at any one cold endpoint, since the endpoints started.
+	ColdPeakInFlight int64 `json:"cold_peak_in_flight"`
+	// ConnectionsPeak is the most connections open at any one endpoint, since the endpoints started.
+	ConnectionsPeak int64 `json:"connections_peak"`
 	// Failures counts the reasons of all that was not served.
 	Failures []Failure `json:"failures,omitempty"`
 }
@@ -101,6 +109,15 @@
 	return r
 }
 
+// WithLedger returns a copy that holds the executions of each class and how the endpoints bore their load.
+func (r Result) WithLedger(classes []ClassExecutions, records ledger.Ledger) Result {
+	r.Executions = classes
+	r.FellOver = records.FellOver
+	r.ColdPeakInFlight = records.ColdPeakInFlight
+	r.ConnectionsPeak = records.ConnectionsPeak
+	return r
+}
+
 // Plus returns the sum of two accounts.
 func (a Account) Plus(other Account) Account {
 	a.Lost += other.Lost
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -44,7 +44,8 @@
 			return err
 		}
 		all = append(all, measured)
-		b.say("zone %s seed %d: served %d of %d, p99 %.1f ms", policy, seed, measured.Served, measured.Sent, measured.P99MS)
+		b.say("zone %s seed %d: served %d of %d, p99 %.1f ms, cold endpoints fell over %d times",
+			policy, seed, measured.Served, measured.Sent, measured.P99MS, measured.FellOver)
 		return b.write(fmt.Sprintf("zone-%s-%d", policy, seed), measured)
 	})
 	if err != nil {
--- a/tests/fleet/control.go
+++ b/tests/fleet/control.go
@@ -14,6 +14,7 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarbench/collector"
 	"poplarhook.example/poplarbench/execution"
+	"poplarhook.example/poplarbench/ledger"
 )
 
 const (
@@ -57,9 +58,15 @@
 	return nil
 }
 
+// Ledger returns what all endpoints have recorded together since their start.
+func (f *Fleet) Ledger(ctx context.Context) (ledger.Ledger, error) {
+	return collector.New(http.DefaultClient).Ledger(ctx, f.controls...)
+}
+
 // Executions returns the execution records of every endpoint.
 func (f *Fleet) Executions(ctx context.Context) ([]execution.Execution, error) {
-	return collector.New(http.DefaultClient).Executions(ctx, f.controls...)
+	all, err := f.Ledger(ctx)
+	return all.Executions, err
 }
 
 // Get returns the body of a 200 from a URL of any process of the fleet.
