--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -46,6 +46,7 @@
 type Linker struct {
 	self       *wire.Hello
 	handler    func(from string, frame *wire.Frame)
+	hook       func(hostID string, up bool)
 	tls        *tls.Config
 	clock      func() time.Time
 	limiter    Limiter
@@ -70,6 +71,7 @@
 	l := &Linker{
 		self:       proto.CloneOf(self),
 		clock:      time.Now,
+		hook:       func(string, bool) {},
 		logger:     zap.NewNop(),
 		silence:    defaultSilence,
 		queueLimit: defaultQueueLimit,
@@ -163,18 +165,13 @@
 	return ids
 }
 
-// Greetings returns what the hosts with a link said of themselves, sorted by host id.
-func (l *Linker) Greetings() []*wire.Hello {
-	ids := l.Connected()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	greetings := make([]*wire.Hello, 0, len(ids))
-	for _, id := range ids {
-		if k, ok := l.links[id]; ok {
-			greetings = append(greetings, k.peer)
-		}
+// Greeting returns what the host said of itself when the link was made, nil without a link.
+func (l *Linker) Greeting(hostID string) *wire.Hello {
+	k := l.find(hostID)
+	if k == nil {
+		return nil
 	}
-	return greetings
+	return k.peer
 }
 
 // Counts returns a reading of the counters.
