Configure fleets as operators do, and measure what entry hosts cost

Fleets wrote their configuration straight into the store, past the checks and the settling of lost replies that operators rely on. With entry hosts they now go by poplarctl, with a token for each team; so do the demonstration and the bench when they take a zone out. In the demonstration the zone's endpoints return cold, and its verdict counts how often one fell over.

--- a/poplarbench/result/result.go
+++ b/poplarbench/result/result.go
@@ -26,6 +26,8 @@
 	ColdPeakInFlight int64 `json:"cold_peak_in_flight"`
 	// ConnectionsPeak is the most connections open at any one endpoint, since the endpoints started.
 	ConnectionsPeak int64 `json:"connections_peak"`
+	// ControlBytesPerHostPerS is what each entry host sent to its peers in a second; only benches fill it.
+	ControlBytesPerHostPerS float64 `json:"control_bytes_per_host_per_s,omitempty"`
 	// Failures counts the reasons of all that was not served.
 	Failures []Failure `json:"failures,omitempty"`
 }
--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -49,7 +49,7 @@
 	parser.String(&s.bin, "", "bin", "folder of the built programs")
 	parser.String(&s.scenarios, "", "scenarios", "folder of the scenario files")
 	parser.String(&s.results, "", "results", "folder for the result files")
-	parser.String(&s.only, "", "only", "one experiment: noisy, zone or added; all when empty")
+	parser.String(&s.only, "", "only", "one experiment: noisy, zone, added or cost; all when empty")
 	parser.StringSlice(&s.policies, "", "policy", "policy to measure; repeat for more (default: owner, two_choices, random)")
 	parser.UInt64Slice(&s.seeds, "", "seed", "seed of a run; repeat for more (default: 1, 2, 3)")
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
@@ -86,15 +86,17 @@
 		return b.Zone(ctx)
 	case "added":
 		return b.Added(ctx)
+	case "cost":
+		return b.Cost(ctx)
 	case "":
 		return all(ctx, b)
 	default:
-		return errors.Wrapf(errFlag, "--only: value %q, allowed: noisy, zone, added", s.only)
+		return errors.Wrapf(errFlag, "--only: value %q, allowed: noisy, zone, added, cost", s.only)
 	}
 }
 
 func all(ctx context.Context, b *bencher.Bencher) error {
-	for _, experiment := range []func(context.Context) error{b.Noisy, b.Zone, b.Added} {
+	for _, experiment := range []func(context.Context) error{b.Noisy, b.Zone, b.Added, b.Cost} {
 		if err := experiment(ctx); err != nil {
 			return err
 		}
--- a/tests/bencher/bencher.go
+++ b/tests/bencher/bencher.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	connections   = 1024
+	// connections is more than can be in flight at the scenarios' rates within their deadlines.
+	connections   = 4096
 	defaultPolicy = "owner"
 	// warmUp is offered before each measurement, so that connections are open and groups known.
 	warmUp = 2 * time.Second
@@ -113,12 +114,29 @@
 	if err := b.warm(ctx, running.EntryAddresses(), load); err != nil {
 		return result.Result{}, err
 	}
-	return experimenter.New(load, running.EntryAddresses(), b.clock,
+	return b.measure(ctx, running, load, label)
+}
+
+// measure offers the load, accounts for it and counts what the entry hosts sent to one another meanwhile.
+func (b *Bencher) measure(ctx context.Context, running *fleet.Fleet, load scenario.Scenario, label string) (result.Result, error) {
+	before, err := controlBytes(ctx, running)
+	if err != nil {
+		return result.Result{}, err
+	}
+	start := b.clock()
+	measured, err := experimenter.New(load, running.EntryAddresses(), b.clock,
 		experimenter.WithLabel(label),
 		experimenter.WithControls(running.Controls()...),
 		experimenter.WithHostList(running.HostListURL()),
 		experimenter.WithSending(sender.WithConnections(connections)),
 	).Run(ctx)
+	if err != nil {
+		return measured, err
+	}
+	span := b.clock().Sub(start)
+	after, err := controlBytes(ctx, running)
+	measured.ControlBytesPerHostPerS = float64(after-before) / span.Seconds() / float64(b.entries)
+	return measured, err
 }
 
 // warm offers the load under another seed, so that its request ids are others.
--- a/tests/bencher/noisy.go
+++ b/tests/bencher/noisy.go
@@ -60,9 +60,9 @@
 
 func (b *Bencher) noisyTable(all []result.Result) error {
 	table := aligner.New()
-	table.Addf("policy\tp50_ms\tp99_ms\tp99_9_ms\tserved_%%\tnot_run\tunknown+broken\textra_%%\tlate_sends\t")
+	table.Addf("policy\tp50_ms\tp99_ms\tp99_9_ms\tserved_%%\tnot_run\tunknown+broken\textra_%%\tcontrol B/s per host\tlate_sends\t")
 	for _, policy := range b.policies {
-		var p50, p99, p999, served, notRun, unknown, extra, late []float64
+		var p50, p99, p999, served, notRun, unknown, extra, control, late []float64
 		for _, r := range all {
 			if r.Label != policy {
 				continue
@@ -74,10 +74,12 @@
 			notRun = append(notRun, float64(r.NotRun))
 			unknown = append(unknown, float64(r.Unknown+r.Broken))
 			extra = append(extra, percent(r.ExtraExecutions, r.Sent))
+			control = append(control, r.ControlBytesPerHostPerS)
 			late = append(late, float64(r.LateSends))
 		}
-		table.Addf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t", policy, spread.New(p50...), spread.New(p99...), spread.New(p999...),
-			spread.New(served...), spread.New(notRun...), spread.New(unknown...), spread.New(extra...), spread.New(late...))
+		table.Addf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t", policy, spread.New(p50...), spread.New(p99...), spread.New(p999...),
+			spread.New(served...), spread.New(notRun...), spread.New(unknown...), spread.New(extra...),
+			spread.New(control...), spread.New(late...))
 	}
 	b.say("\nnoisy endpoints: middle [lowest-highest] of %d seeds, %d entry hosts", len(b.seeds), b.entries)
 	_, err := table.WriteTo(b.out)
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -84,8 +84,8 @@
 	if err := wait(ctx, warmUp+duration/3); err != nil {
 		return err
 	}
-	if _, err := running.Applier().SetZonesOut(ctx, zone); err != nil {
-		return errors.Wrapf(err, "taking %s out", zone)
+	if err := running.ZoneOut(ctx, zone); err != nil {
+		return err
 	}
 	if err := wait(ctx, duration/3); err != nil {
 		return err
@@ -98,8 +98,7 @@
 			return err
 		}
 	}
-	_, err := running.Applier().SetZonesOut(ctx)
-	return errors.Wrapf(err, "bringing %s back", zone)
+	return running.ZoneIn(ctx, zone)
 }
 
 func (b *Bencher) zoneTable(duration time.Duration, all []result.Result) error {
--- a/tests/demonstrator/demonstrator.go
+++ b/tests/demonstrator/demonstrator.go
@@ -29,6 +29,14 @@
 	overhead = 90 * time.Second
 )
 
+// coldStarts lets an endpoint that restarts bear one request at once until it has answered twenty.
+var coldStarts = []string{"--start-warm", "--cold-requests", "20", "--cold-limit", "1"}
+
+// restart ends an endpoint's incarnation, after which it is cold.
+type restart struct {
+	Restart bool `json:"restart"`
+}
+
 // Demonstrator runs one deployment for a bounded time.
 type Demonstrator struct {
 	deployment deployment.Deployment
@@ -50,7 +58,11 @@
 	ctx, cancel := context.WithTimeout(ctx, duration+overhead)
 	defer cancel()
 	d.say("starting the stand-ins and %d entry hosts", entryHosts)
-	running, err := fleet.Start(ctx, d.bin, d.deployment, fleet.WithEntries(entryHosts), fleet.WithLogFolder(d.logFolder))
+	running, err := fleet.Start(ctx, d.bin, d.deployment,
+		fleet.WithEntries(entryHosts),
+		fleet.WithLogFolder(d.logFolder),
+		fleet.WithEndpointArguments(coldStarts...),
+	)
 	if err != nil {
 		return verdict.Verdict{}.WithFailure(err)
 	}
@@ -93,27 +105,33 @@
 	err    error
 }
 
-// moveZone takes the second zone of the first region out and brings it back.
+// moveZone takes the second zone of the first region out and brings it back with its endpoints cold.
 func (d *Demonstrator) moveZone(ctx context.Context, running *fleet.Fleet, duration time.Duration) zoneMove {
 	zone := d.secondZone()
 	if err := wait(ctx, share(duration, outAt)); err != nil {
 		return zoneMove{err: err}
 	}
-	revision, err := running.Applier().SetZonesOut(ctx, zone)
-	if err != nil {
-		return zoneMove{err: errors.Wrapf(err, "taking %s out", zone)}
+	if err := running.ZoneOut(ctx, zone); err != nil {
+		return zoneMove{err: err}
 	}
 	out := outage{zone: zone, accepted: d.clock()}
-	d.say("availability zone %s is out (revision %d)", zone, revision)
+	d.say("availability zone %s is out", zone)
 	if err := wait(ctx, share(duration, backAt-outAt)); err != nil {
 		return zoneMove{outage: out, err: err}
 	}
+	for _, endpoint := range running.Endpoints() {
+		if endpoint.AvailabilityZone != zone {
+			continue
+		}
+		if err := running.ControlEndpoint(ctx, endpoint.ID, restart{Restart: true}); err != nil {
+			return zoneMove{outage: out, err: err}
+		}
+	}
 	out.ended = d.clock()
-	revision, err = running.Applier().SetZonesOut(ctx)
-	if err != nil {
-		return zoneMove{outage: out, err: errors.Wrapf(err, "bringing %s back", zone)}
+	if err := running.ZoneIn(ctx, zone); err != nil {
+		return zoneMove{outage: out, err: err}
 	}
-	d.say("availability zone %s is back (revision %d)", zone, revision)
+	d.say("availability zone %s is back", zone)
 	return zoneMove{outage: out}
 }
 
--- a/tests/fleet/control.go
+++ b/tests/fleet/control.go
@@ -15,6 +15,7 @@
 	"poplarhook.example/poplarbench/collector"
 	"poplarhook.example/poplarbench/execution"
 	"poplarhook.example/poplarbench/ledger"
+	"poplarhook.example/tests/usage"
 )
 
 const (
@@ -74,6 +75,38 @@
 	return call(ctx, http.MethodGet, url, nil)
 }
 
+// State reads the state dump of an entry host, as the operators may.
+func (f *Fleet) State(ctx context.Context, id string, into any) error {
+	for _, entry := range f.Entries() {
+		if entry.ID != id {
+			continue
+		}
+		text, err := f.Ctl(ctx, Operators, "dump", "--host", id)
+		if err != nil {
+			return err
+		}
+		return errors.Wrapf(json.Unmarshal([]byte(text), into), "state of %s", id)
+	}
+	return errors.Wrapf(ErrUnknown, "entry host %q", id)
+}
+
+// Usage returns what the entry hosts' processes use together.
+func (f *Fleet) Usage() (usage.Usage, error) {
+	var sum usage.Usage
+	for _, entry := range f.Entries() {
+		p, err := f.Process(entry.ID)
+		if err != nil {
+			return usage.Usage{}, err
+		}
+		used, err := usage.Read(p.ID())
+		if err != nil {
+			return usage.Usage{}, err
+		}
+		sum = sum.Plus(used)
+	}
+	return sum, nil
+}
+
 // WaitReady waits until every entry host answers that it is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, entry := range f.Entries() {
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -49,6 +49,7 @@
 	platform  string
 	controls  []string
 	controlOf map[string]string
+	tokens    map[string]string
 	store     *storer.Storer
 	applier   *applier.Applier
 
@@ -117,6 +118,7 @@
 	for _, option := range options {
 		option(f)
 	}
+	f.makeTokens()
 	if err := f.makeLogFolder(); err != nil {
 		return nil, err
 	}
@@ -189,15 +191,24 @@
 	if err := f.startEndpoints(ctx); err != nil {
 		return err
 	}
-	if _, err := f.applier.Apply(ctx, f.deployment.Document); err != nil {
-		return errors.Wrap(err, "applying the configuration")
-	}
 	if err := f.startEntries(ctx); err != nil {
 		return err
 	}
+	if err := f.configure(ctx); err != nil {
+		return errors.Wrap(err, "applying the configuration")
+	}
 	return f.WaitReady(ctx)
 }
 
+// configure applies the configuration as operators do; without an entry host it goes straight into the store.
+func (f *Fleet) configure(ctx context.Context) error {
+	if f.entryCount > 0 {
+		return f.Apply(ctx, f.deployment.Document)
+	}
+	_, err := f.applier.Apply(ctx, f.deployment.Document)
+	return err
+}
+
 func (f *Fleet) makeLogFolder() error {
 	if f.logFolder != "" {
 		return errors.Wrap(os.MkdirAll(f.logFolder, 0o700), "log folder")
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -20,6 +20,7 @@
 	"poplarhook.example/poplarbench/sender"
 	"poplarhook.example/tests/deployment"
 	"poplarhook.example/tests/fleet"
+	"poplarhook.example/tests/mix"
 	"poplarhook.example/tests/process"
 )
 
@@ -130,3 +131,33 @@
 	c.Assert(json.Unmarshal(text, &pid), qt.IsNil)
 	c.Assert(syscall.Kill(pid, 0), qt.Equals, syscall.ESRCH)
 }
+
+// Callers are served through every entry host, also through one that has stopped gracefully and started anew.
+func TestEntriesServe(t *testing.T) {
+	c := qt.New(t)
+	running := start(c, fleet.WithEntries(3))
+	first := running.Entries()[0]
+	c.Assert(running.Terminate(first.ID), qt.IsNil)
+	c.Assert(running.StartEntry(t.Context(), first), qt.IsNil)
+	c.Assert(running.WaitReady(t.Context()), qt.IsNil)
+	load := scenario.Scenario{DurationMS: 500, RatePerS: 100, Arrivals: scenario.Constant, Mix: mix.Kite()}
+	measured, err := experimenter.New(load, running.EntryAddresses(), time.Now,
+		experimenter.WithControls(running.Controls()...), experimenter.WithHostList(running.HostListURL())).Run(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(measured.IsClean(), qt.IsTrue)
+	c.Assert(measured.Served, qt.Equals, measured.Sent)
+
+	_, err = running.Ctl(t.Context(), "kite", "zone", "out", "pohja-b")
+	c.Assert(err, qt.ErrorIs, fleet.ErrCommand)
+	c.Assert(running.ZoneOut(t.Context(), "pohja-b"), qt.IsNil)
+	c.Assert(running.ZoneIn(t.Context(), "pohja-b"), qt.IsNil)
+	var dumped struct {
+		HostID string `json:"host_id"`
+	}
+	c.Assert(running.State(t.Context(), first.ID, &dumped), qt.IsNil)
+	c.Assert(dumped.HostID, qt.Equals, first.ID)
+	used, err := running.Usage()
+	c.Assert(err, qt.IsNil)
+	c.Assert(used.ResidentBytes > 0, qt.IsTrue)
+	c.Assert(running.Stop(), qt.IsNil)
+}
--- a/tests/fleet/starter.go
+++ b/tests/fleet/starter.go
@@ -156,7 +156,7 @@
 	if f.policy != "" {
 		arguments = append(arguments, "--policy", f.policy)
 	}
-	return f.launch(entry.ID, "poplarhook", nil, append(arguments, f.entryArguments...)...)
+	return f.launch(entry.ID, "poplarhook", []string{f.tokenEnvironment()}, append(arguments, f.entryArguments...)...)
 }
 
 // admitEntry waits until the entry host listens and has the platform list it.
--- /dev/null
+++ b/tests/usage/doc.go
@@ -0,0 +1,2 @@
+// Package usage reads the processor time and memory that a process uses.
+package usage
--- a/tests/verdict/verdict.go
+++ b/tests/verdict/verdict.go
@@ -16,9 +16,11 @@
 	ServedAgainstClass int64 `json:"served_against_class"`
 	ExtraExecutions    int64 `json:"extra_executions"`
 	// ZoneOutExecutions counts executions that began in the zone that was out, later than the grace allows.
-	ZoneOutExecutions int64   `json:"zone_out_executions"`
-	P50MS             float64 `json:"p50_ms"`
-	P99MS             float64 `json:"p99_ms"`
+	ZoneOutExecutions int64 `json:"zone_out_executions"`
+	// FellOver counts the times that a cold endpoint received more than it bears.
+	FellOver int64   `json:"fell_over"`
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
 	// Failure says what kept the demonstration from its end, empty when nothing did.
 	Failure string `json:"failure,omitempty"`
 }
@@ -37,6 +39,7 @@
 		FalseNotRun:        measured.FalseNotRun,
 		ServedAgainstClass: measured.ServedAgainstClass,
 		ExtraExecutions:    measured.ExtraExecutions,
+		FellOver:           measured.FellOver,
 		P50MS:              measured.P50MS,
 		P99MS:              measured.P99MS,
 	}
