--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -79,7 +79,7 @@
 	o.setEndpoints(now, a.endpoints, a.zoneOut)
 	for _, h := range a.endpoints {
 		if a.observer.IsWarm(now, h.ID) && proved(h.ID) {
-			o.assumeWarm(now, h.ID, a.observer.Incarnation(h.ID))
+			o.assumeWarm(h.ID, a.observer.Incarnation(h.ID))
 		}
 		if a.observer.IsLeaving(now, h.ID) {
 			o.see(now, &wire.Sighting{EndpointId: h.ID, Leaving: true, Incarnation: a.observer.Incarnation(h.ID)})
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -9,6 +9,7 @@
 	"poplarhook.example/lib/demand"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/lender"
+	endpointreport "poplarhook.example/lib/report"
 	"poplarhook.example/lib/warmer"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/group"
@@ -37,7 +38,11 @@
 	until time.Time
 }
 
-const acknowledgeEvery = 50 * time.Millisecond
+const (
+	acknowledgeEvery = 50 * time.Millisecond
+	// lateAfter is the age at which a request given up counts against its endpoint.
+	lateAfter = 500 * time.Millisecond
+)
 
 func newOwnership(self string) *ownership {
 	return &ownership{
@@ -62,13 +67,7 @@
 func (o *ownership) capacities(now time.Time) []capacity.Capacity {
 	capacities := make([]capacity.Capacity, 0, len(o.hosts))
 	for _, h := range o.hosts {
-		w := o.warmers[h.ID]
-		capacities = append(capacities, capacity.Capacity{
-			Endpoint: h.ID,
-			Limit:    w.Limit(now, max(h.Slots, 1)),
-			Cold:     w.Cold(now),
-			Open:     w.Open(now),
-		})
+		capacities = append(capacities, o.warmers[h.ID].Capacity(now, h.ID, max(h.Slots, 1)))
 	}
 	return capacities
 }
@@ -137,7 +136,7 @@
 		return nil
 	}
 	if h.GetWarm() {
-		o.assumeWarm(now, endpoint, "")
+		o.assumeWarm(endpoint, "")
 	}
 	o.lender.Hold(now, borrower, endpoint, int(h.GetCount()))
 	return append(o.apply(now), o.lender.Tick(now)...)
@@ -165,17 +164,24 @@
 }
 
 // observe takes in what an exchange of this host showed.
-func (o *ownership) observe(now time.Time, endpoint string, cold bool, r report.Report) {
+func (o *ownership) observe(now time.Time, endpoint string, r report.Report) {
 	w, listed := o.warmers[endpoint]
 	if !listed {
 		return
 	}
 	switch {
 	case r.Cancelled:
+		if r.Latency >= lateAfter {
+			w.Failure(now)
+		}
 	case r.Err != nil:
-		w.Reset(now)
+		w.ConnectionReset(now)
+		w.Failure(now)
 	default:
-		w.Answered(now, r.Incarnation, r.Cold, r.Leaving)
+		w.Success(now, r.Incarnation, now.Add(-r.Latency), 1)
+		if r.Loaded {
+			w.Observe(now, endpointreport.Report{Incarnation: r.Incarnation, Cold: r.Cold, Leaving: r.Leaving})
+		}
 	}
 }
 
@@ -185,19 +191,27 @@
 	if !listed {
 		return
 	}
-	switch {
-	case s.GetFailed():
-		w.Reset(now)
-	case s.GetLeaving():
-		w.Answered(now, s.GetIncarnation(), false, true)
-	default:
-		w.Answered(now, s.GetIncarnation(), s.GetCold(), false)
+	if s.GetFailed() {
+		w.ConnectionReset(now)
+		w.Failure(now)
+		return
 	}
+	if s.GetWarm() {
+		w.Success(now, s.GetIncarnation(), now, 1)
+	}
+	w.Observe(now, endpointreport.Report{Incarnation: s.GetIncarnation(), Cold: s.GetCold(), Leaving: s.GetLeaving()})
 }
 
-func (o *ownership) assumeWarm(now time.Time, endpoint, incarnation string) {
+// completed takes in how many requests of a peer a warm endpoint has answered.
+func (o *ownership) completed(now time.Time, endpoint string, count int) {
+	if w, listed := o.warmers[endpoint]; listed && count > 0 && !w.Cold(now) {
+		w.Success(now, "", now, count)
+	}
+}
+
+func (o *ownership) assumeWarm(endpoint, incarnation string) {
 	if w, listed := o.warmers[endpoint]; listed {
-		w.AssumeWarm(now, incarnation)
+		w.AssumeWarm(incarnation)
 	}
 }
 
@@ -209,8 +223,12 @@
 		if !known {
 			w = warmer.New()
 		}
-		w.Listed(now, h.Incarnation, h.IsLeaving())
-		w.SetZoneOut(now, zoneOut(h.AvailabilityZone))
+		w.SetListed(now, true, h.IsLeaving(), h.Incarnation)
+		if zoneOut(h.AvailabilityZone) {
+			w.ZoneOut(now)
+		} else {
+			w.ZoneBack(now)
+		}
 		listed[h.ID] = w
 	}
 	o.warmers = listed
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -103,6 +103,7 @@
 		return effect.Effect{}
 	}
 	endpoint := a.idOf(r.GetEndpoint())
+	a.owned.completed(now, endpoint, int(r.GetCompleted()))
 	return a.deliver(now, a.owned.lender.Release(now, from, endpoint, int(r.GetCount())))
 }
 
--- a/poplarhook/services/arbiter/request.go
+++ b/poplarhook/services/arbiter/request.go
@@ -51,7 +51,7 @@
 func (a *Arbiter) observe(now time.Time, endpoint string, cold bool, r report.Report) effect.Effect {
 	var e effect.Effect
 	if a.owned != nil {
-		a.owned.observe(now, endpoint, cold, r)
+		a.owned.observe(now, endpoint, r)
 	}
 	switch {
 	case r.Cancelled:
--- a/poplarhook/services/arbiter/state.go
+++ b/poplarhook/services/arbiter/state.go
@@ -25,7 +25,8 @@
 	Open     bool   `json:"open"`
 	Cold     bool   `json:"cold"`
 	Limit    int    `json:"limit"`
-	Reason   string `json:"reason,omitempty"`
+	State    string `json:"state"`
+	Reason   string `json:"reason"`
 }
 
 // State returns what the Arbiter knows and does.
@@ -56,7 +57,8 @@
 			Open:     w.Open(now),
 			Cold:     w.Cold(now),
 			Limit:    w.Limit(now, max(h.Slots, 1)),
-			Reason:   w.Reason(now),
+			State:    w.State(now),
+			Reason:   w.Reason(now, max(h.Slots, 1)),
 		})
 	}
 	return conditions
--- a/poplarhook/services/entry/admin.go
+++ b/poplarhook/services/entry/admin.go
@@ -6,11 +6,14 @@
 
 	"github.com/pkg/errors"
 
+	"poplarhook.example/lib/index"
+	"poplarhook.example/lib/proposal"
 	"poplarhook.example/lib/publisher"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/lib/spending"
 	"poplarhook.example/lib/status"
 	"poplarhook.example/lib/validator"
+	"poplarhook.example/lib/warmer"
 	"poplarhook.example/lib/zone"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/modules/authorizer"
@@ -27,7 +30,10 @@
 	if err != nil {
 		return nil, errors.Wrap(settings.ErrInvalid, err.Error())
 	}
-	publish := publisher.New(e.store, validator.New())
+	publish := publisher.New(e.store, validator.New(
+		validator.WithRegionsFrom(func() []string { return e.places.Directory().Regions() }),
+		validator.WithZonesFrom(e.zoneNames)),
+		publisher.WithAccepted(e.accepted))
 	return administrator.New(publish, authorize,
 		administrator.WithReady(e.ready),
 		administrator.WithMetrics(e.meter.Handler()),
@@ -39,6 +45,24 @@
 	), nil
 }
 
+// accepted puts a change in force that was accepted through this host, also when the store goes out right after.
+func (e *Entry) accepted(x index.Index, p proposal.Proposal) {
+	if d, isDocument := p.Document(); isDocument {
+		if entry, named := x.Entry(d.Team); named {
+			e.assembler.Remember(entry.Key, d)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.StoreTimeout)
+	defer cancel()
+	s, err := e.assembler.Assemble(ctx, x)
+	if err == nil {
+		_, err = e.relayer.Offer(s)
+	}
+	if err != nil {
+		e.meter.Count("accepted_change_not_offered")
+	}
+}
+
 // dump is the state of the process, with no content of any request.
 type dump struct {
 	HostID      string             `json:"host_id"`
@@ -121,11 +145,11 @@
 		switch {
 		case e.places.IsZoneOut(h.AvailabilityZone):
 			s.State, s.Reason = status.EndpointOut, "zone_out"
-		case known && c.Reason != "":
+		case known:
 			s.State, s.Reason = stateOf(c), c.Reason
 		case h.IsLeaving():
 			s.State, s.Reason = status.EndpointLeaving, "listed_leaving"
-		case !known:
+		default:
 			s.Reason = "seen_by_owner_only"
 		}
 		states = append(states, s)
@@ -134,10 +158,26 @@
 }
 
 func stateOf(c arbiter.Condition) string {
-	if c.Open {
+	switch c.State {
+	case warmer.StateNew, warmer.StateCold:
 		return status.EndpointCold
+	case warmer.StateWarm:
+		return status.EndpointWarm
+	case warmer.StateOut:
+		return status.EndpointOut
+	case warmer.StateFailed:
+		return status.EndpointFailed
+	default:
+		return status.EndpointLeaving
+	}
+}
+
+func (e *Entry) zoneNames() []string {
+	var names []string
+	for _, z := range e.zones() {
+		names = append(names, z.Name)
 	}
-	return status.EndpointLeaving
+	return names
 }
 
 // zones returns the availability zones that hosts are listed in.
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"poplarhook.example/lib/assembler"
 	"poplarhook.example/lib/lister"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/lib/storer"
@@ -17,6 +19,7 @@
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/roster"
+	"poplarhook.example/poplarhook/modules/certifier"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/modules/settings"
@@ -31,6 +34,7 @@
 	"poplarhook.example/poplarhook/services/heartbeater"
 	"poplarhook.example/poplarhook/services/locator"
 	"poplarhook.example/poplarhook/services/refresher"
+	"poplarhook.example/poplarhook/services/relayer"
 	"poplarhook.example/poplarhook/services/sender"
 )
 
@@ -51,6 +55,9 @@
 	links       *linker.Linker
 	heartbeats  *heartbeater.Heartbeater
 	assigner    *assigner.Assigner
+	relayer     *relayer.Relayer
+	assembler   *assembler.Assembler
+	certifier   *certifier.Certifier
 	coordinator *coordinator.Coordinator
 	governor    *governor.Governor
 	dispatcher  *dispatcher.Dispatcher
@@ -81,7 +88,9 @@
 	e.hosts = refresher.New(lister.New(s.HostListURL), e.setDirectory,
 		refresher.WithWait(s.WatchWait), refresher.WithLogger(logger))
 	e.governor = governor.New(e.clock, s.ControlBudget, s.HoldMax, func(hold time.Duration) { e.coordinator.SetHold(hold) })
-	e.buildPeers()
+	if err := e.buildPeers(); err != nil {
+		return nil, err
+	}
 	e.buildRequests()
 	admin, err := e.newAdministrator()
 	if err != nil {
@@ -92,7 +101,7 @@
 }
 
 // buildPeers joins this host with the other entry hosts.
-func (e *Entry) buildPeers() {
+func (e *Entry) buildPeers() error {
 	s := e.settings
 	self := member.Member{
 		ID:               s.HostID,
@@ -103,6 +112,20 @@
 		AdminAddress:     e.listeners.Admin.Addr().String(),
 	}
 	e.roster = roster.New(e.startedAt, self, roster.WithTimeout(s.HeartbeatTimeout), roster.WithRemoteTimeout(remoteTimes*s.HeartbeatTimeout))
+	options := []linker.Option{
+		linker.WithHandler(e.handle),
+		linker.WithLinkHook(e.linked),
+		linker.WithLogger(e.logger),
+		linker.WithLimiter(e.governor),
+	}
+	if s.PeerCA != "" {
+		c, err := certifier.New(s.PeerCA, s.PeerCertificate, s.PeerKey, certifier.WithLogger(e.logger))
+		if err != nil {
+			return errors.Wrap(err, "peer-ca, peer-certificate, peer-key")
+		}
+		e.certifier = c
+		options = append(options, linker.WithTLS(c.Config()))
+	}
 	e.links = linker.New(&wire.Hello{
 		HostId:           self.ID,
 		Incarnation:      self.Incarnation,
@@ -110,9 +133,16 @@
 		AvailabilityZone: self.AvailabilityZone,
 		PeerAddress:      self.PeerAddress,
 		AdminAddress:     self.AdminAddress,
-	}, linker.WithHandler(e.handle), linker.WithLinkHook(e.linked), linker.WithLogger(e.logger), linker.WithLimiter(e.governor))
+	}, options...)
 	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
+	e.assembler = assembler.New(e.store)
+	e.relayer = relayer.New(e.store, e.assembler, e.links, e.roster,
+		relayer.OnApply(e.setSnapshot),
+		relayer.WithWait(s.WatchWait),
+		relayer.WithLogger(e.logger),
+		relayer.WithCounter(e.meter.Count))
+	return nil
 }
 
 // remoteTimes is how much longer a host of another region may be silent than one of the own.
@@ -155,6 +185,8 @@
 	switch frame.GetBody().(type) {
 	case *wire.Frame_Heartbeat:
 		e.heartbeats.Handle(from, frame)
+	case *wire.Frame_SnapshotRequest, *wire.Frame_SnapshotReply:
+		e.relayer.Handle(from, frame)
 	default:
 		e.coordinator.Receive(e.clock(), from, frame)
 	}
@@ -184,7 +216,6 @@
 
 func (e *Entry) setSnapshot(s snapshot.Snapshot) {
 	e.places.SetSnapshot(s)
-	e.roster.SetRevision(s.Revision)
 	e.coordinator.Update(e.clock())
 	e.logger.Info("configuration in force", zap.Int64("revision", s.Revision), zap.String("change_id", s.ChangeID))
 }
--- a/poplarhook/services/entry/run.go
+++ b/poplarhook/services/entry/run.go
@@ -28,9 +28,12 @@
 		e.heartbeats.Run(background),
 		e.coordinator.Run(background),
 		e.governor.Run(background),
-		e.follow(background),
+		e.relayer.Run(background),
 		server.New(e.admin).Run(background, e.listeners.Admin),
 	}
+	if e.certifier != nil {
+		ends = append(ends, e.certifier.Run(background))
+	}
 	callers, stopCallers := context.WithCancel(background)
 	s := e.settings
 	callerServer := server.New(e.callers,
