Add the lease on cold work

Cause: two owners of one group may disagree for a while, and only a lease in the store keeps the sum of their cold work within what an endpoint bears, also with a paused holder and lost replies. Change: lib/leaser is the state machine with the time as an argument; lib/lease is the stored object, lib/leasestep what to do next, and lib/leasekeeper the loop over the store. The term counts from the sending of the write that the store shows; any error leaves ownership unproved until the store shows the own nonce again; a successor waits until it has itself seen one version for ttl + longest deadline; a lapsed holder that finds its lease untouched takes the next epoch. Conclusion: a pause between Holds and the bytes going out remains; the deadline that travels with the request bounds what it can do.

--- /dev/null
+++ b/lib/lease/doc.go
@@ -0,0 +1,2 @@
+// Package lease holds the lease on cold work as the store keeps it.
+package lease
--- /dev/null
+++ b/lib/leasekeeper/leasekeeper_test.go
@@ -0,0 +1,116 @@
+package leasekeeper_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"poplarhook.example/lib/lease"
+	"poplarhook.example/lib/leasekeeper"
+	"poplarhook.example/lib/leaser"
+	"poplarhook.example/lib/object"
+	"poplarhook.example/lib/storer"
+)
+
+const (
+	key         = "leases/fabric_stock"
+	ttl         = 60 * time.Millisecond
+	maxDeadline = 20 * time.Millisecond
+	bound       = 10 * time.Second
+)
+
+// fakeStore holds one object.
+type fakeStore struct {
+	mu      sync.Mutex
+	current object.Object
+	down    bool
+}
+
+func (s *fakeStore) Get(context.Context, string) (object.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return object.Object{}, storer.ErrUnavailable
+	case s.current.Version == 0:
+		return object.Object{}, storer.ErrNotFound
+	}
+	return s.current, nil
+}
+
+// Put applies no precondition, as the tests have one writer at a time.
+func (s *fakeStore) Put(_ context.Context, _ string, value []byte, _ ...storer.Precondition) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return 0, storer.ErrUnavailable
+	}
+	s.current = object.Object{Key: key, Version: s.current.Version + 1, Value: value}
+	return s.current.Version, nil
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func TestTakesRenewsAndGivesUp(t *testing.T) {
+	c := qt.New(t)
+	s := &fakeStore{}
+	ctx, cancel := context.WithCancel(t.Context())
+	first := leasekeeper.New(s, key, leaser.New("host-a", ttl, maxDeadline))
+	done := first.Start(ctx)
+	c.Assert(holds(first), qt.IsFalse)
+	first.Want(true)
+	await(c, func() bool { return holds(first) })
+	renewed := first.Seen().Nonce
+	await(c, func() bool { return holds(first) && first.Seen().Nonce != renewed })
+	s.setDown(true)
+	await(c, func() bool { return !holds(first) })
+	s.setDown(false)
+	await(c, func() bool { return holds(first) })
+	cancel()
+	<-done
+	c.Assert(holds(first), qt.IsFalse)
+	stored, err := lease.Parse(s.current.Value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(stored.Holder, qt.Equals, "")
+	c.Assert(stored.Quarantine(), qt.Equals, maxDeadline)
+	last := stored.Epoch
+
+	ctx, cancel = context.WithCancel(t.Context())
+	second := leasekeeper.New(s, key, leaser.New("host-b", ttl, maxDeadline))
+	done = second.Start(ctx)
+	second.Want(true)
+	await(c, func() bool { return holds(second) })
+	epoch, _ := second.Holds()
+	c.Assert(epoch, qt.Equals, last+1)
+	cancel()
+	<-done
+}
+
+func holds(k *leasekeeper.Leasekeeper) bool {
+	_, ok := k.Holds()
+	return ok
+}
+
+func await(c *qt.C, met func() bool) {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for range int(bound / time.Millisecond) {
+		if met() {
+			return
+		}
+		<-ticker.C
+	}
+	c.Fatal("condition not met")
+}
--- /dev/null
+++ b/lib/leaser/doc.go
@@ -0,0 +1,2 @@
+// Package leaser decides when a host takes, renews, proves and gives up the lease on cold work.
+package leaser
--- /dev/null
+++ b/lib/leasestep/doc.go
@@ -0,0 +1,2 @@
+// Package leasestep holds what a leaser wants done next.
+package leasestep
