Give work to cold endpoints only under a lease in the store

Cause: owners by hash may disagree for a while, and two owners that each send a cold endpoint what it bears send it twice that. Change: a warden keeps one lease for each shard with cold endpoints and gives it up when another host owns the shard; work for a cold endpoint ends within the deadline that a successor waits.

--- a/lib/leasekeeper/leasekeeper.go
+++ b/lib/leasekeeper/leasekeeper.go
@@ -68,6 +68,13 @@
 	return k.leaser.Holds(k.clock())
 }
 
+// Until returns the time from which the lease must not be used, which is past while it may not be used at all.
+func (k *Leasekeeper) Until() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaser.Until(k.clock())
+}
+
 // Seen returns the lease as the store last showed it, whoever holds it.
 func (k *Leasekeeper) Seen() lease.Lease {
 	k.mu.Lock()
--- a/lib/leaser/leaser.go
+++ b/lib/leaser/leaser.go
@@ -104,6 +104,14 @@
 	return l.current.Epoch, true
 }
 
+// Until returns the time from which the lease must not be used, which is past while it may not be used at all.
+func (l *Leaser) Until(now time.Time) time.Time {
+	if _, holds := l.Holds(now); !holds {
+		return time.Time{}
+	}
+	return l.termStart.Add(l.ttl - l.margin)
+}
+
 // Seen returns the lease as the store last showed it, whoever holds it.
 func (l *Leaser) Seen() lease.Lease {
 	return l.current
--- a/poplarhook/modules/meter/meter_test.go
+++ b/poplarhook/modules/meter/meter_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 	m.CountRequest("served", "stock_lookup", 3*time.Millisecond)
 	c.Assert(m.Close(), quicktest.IsNil)
 	recorder := httptest.NewRecorder()
-	m.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	c.Assert(recorder.Body.String(), quicktest.Contains, "poplarhook_test_hedge_sent 1")
 	c.Assert(recorder.Body.String(), quicktest.Contains, `poplarhook_test_requests{class="stock_lookup",outcome="served"} 1`)
 }
--- a/poplarhook/services/assigner/assigner.go
+++ b/poplarhook/services/assigner/assigner.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,37 +28,51 @@
 	roster roster
 	shards int
 
-	mu      sync.Mutex
-	members []string
-	ranker  ranker.Ranker
+	mu    sync.Mutex
+	ranks map[string]rank
 }
 
+// rank is the ranking of one region's hosts, kept while they stay the same.
+type rank struct {
+	names  []string
+	ranker ranker.Ranker
+}
+
+// shardSeparator stands between a shard's region and its number.
+const shardSeparator = "/"
+
 // New returns an Assigner that bundles the groups of each region into the given number of shards.
 func New(r roster, shards int) *Assigner {
-	return &Assigner{roster: r, shards: max(shards, 1)}
+	return &Assigner{roster: r, shards: max(shards, 1), ranks: make(map[string]rank)}
 }
 
 // Shard returns the name of the shard that the group belongs to.
 func (a *Assigner) Shard(g group.Group) string {
 	n := xxhash.Sum64String(g.Service) % uint64(a.shards)
-	return g.Region + "/" + strconv.FormatUint(n, 10)
+	return g.Region + shardSeparator + strconv.FormatUint(n, 10)
 }
 
 // Owner returns the entry host that owns the group, empty while there is none or this host's view is out of date.
 func (a *Assigner) Owner(now time.Time, g group.Group) string {
+	return a.OwnerOfShard(now, a.Shard(g))
+}
+
+// OwnerOfShard returns the entry host that owns the groups of the shard, empty as for Owner.
+func (a *Assigner) OwnerOfShard(now time.Time, shard string) string {
 	if !a.roster.Fresh(now) {
 		return ""
 	}
+	region, _, _ := strings.Cut(shard, shardSeparator)
 	var names []string
 	for _, m := range a.roster.Candidates(now) {
-		if m.Region == g.Region {
+		if m.Region == region {
 			names = append(names, m.ID)
 		}
 	}
 	if len(names) == 0 {
 		return ""
 	}
-	return a.rank(names).Owner(a.Shard(g))
+	return a.rank(region, names).Owner(shard)
 }
 
 // Sharers returns how many live entry hosts share the endpoints, at least one.
@@ -65,13 +80,12 @@
 	return max(len(a.roster.Live(now)), 1)
 }
 
-// rank returns the ranking of the members, kept from the last call where they are the same.
-func (a *Assigner) rank(names []string) ranker.Ranker {
+// rank returns the ranking of a region's hosts, kept from the last call where they are the same.
+func (a *Assigner) rank(region string, names []string) ranker.Ranker {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !slices.Equal(names, a.members) {
-		a.members = names
-		a.ranker = ranker.New(names...)
+	if !slices.Equal(names, a.ranks[region].names) {
+		a.ranks[region] = rank{names: names, ranker: ranker.New(names...)}
 	}
-	return a.ranker
+	return a.ranks[region].ranker
 }
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -28,6 +28,20 @@
 		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrNotSent})
 		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
 	}
+	if !b.Cold || j.Until.Sub(sentAt) <= d.coldDeadline {
+		return d.exchange(ctx, j, b, sentAt)
+	}
+	j = j.WithUntil(sentAt.Add(d.coldDeadline))
+	ctx, cancel := context.WithDeadline(ctx, j.Until)
+	a, err := d.exchange(ctx, j, b, sentAt)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return a.WithRelease(cancel), nil
+}
+
+func (d *Dispatcher) exchange(ctx context.Context, j job.Job, b binding.Binding, sentAt time.Time) (*answer.Answer, error) {
 	response, err := d.sender.Send(ctx, b, j) //nolint:bodyclose // readStart or the answer's release closes it
 	if err != nil {
 		return nil, d.failed(ctx, b, report.Report{}, sentAt, err)
--- a/poplarhook/services/dispatcher/dispatcher.go
+++ b/poplarhook/services/dispatcher/dispatcher.go
@@ -48,7 +48,8 @@
 }
 
 const (
-	maxSends = 4
+	maxSends            = 4
+	defaultColdDeadline = 2 * time.Second
 	// bufferSize is how much of an answer is read before the caller gets its head, in bytes.
 	bufferSize = 64 << 10
 )
@@ -63,6 +64,8 @@
 	hedges  budget
 	retries budget
 	counter counter
+	// coldDeadline bounds the work of a cold endpoint for one request.
+	coldDeadline time.Duration
 }
 
 // Option changes how a Dispatcher is built.
@@ -83,6 +86,11 @@
 	return func(d *Dispatcher) { d.retries = b }
 }
 
+// WithColdDeadline bounds the time that a cold endpoint is given for one request.
+func WithColdDeadline(deadline time.Duration) Option {
+	return func(d *Dispatcher) { d.coldDeadline = deadline }
+}
+
 // WithCounter sets where events are counted.
 func WithCounter(count func(event string)) Option {
 	return func(d *Dispatcher) { d.counter = count }
@@ -99,6 +107,8 @@
 		sender:  s,
 		planner: p,
 		counter: func(string) {},
+
+		coldDeadline: defaultColdDeadline,
 	}
 	for _, option := range options {
 		option(d)
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -36,6 +36,7 @@
 	"poplarhook.example/poplarhook/services/refresher"
 	"poplarhook.example/poplarhook/services/relayer"
 	"poplarhook.example/poplarhook/services/sender"
+	"poplarhook.example/poplarhook/services/warden"
 )
 
 // Entry is one entry host.
@@ -55,6 +56,7 @@
 	links       *linker.Linker
 	heartbeats  *heartbeater.Heartbeater
 	assigner    *assigner.Assigner
+	warden      *warden.Warden
 	relayer     *relayer.Relayer
 	assembler   *assembler.Assembler
 	certifier   *certifier.Certifier
@@ -136,6 +138,8 @@
 	}, options...)
 	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
+	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, s.ColdDeadline, e.clock,
+		func(now time.Time, shard string) bool { return e.assigner.OwnerOfShard(now, shard) == self.ID })
 	e.assembler = assembler.New(e.store)
 	e.relayer = relayer.New(e.store, e.assembler, e.links, e.roster,
 		relayer.OnApply(e.setSnapshot),
@@ -158,7 +162,7 @@
 	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.places, e.assigner, e.sender,
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
 		coordinator.WithOrphanFor(s.ColdDeadline),
-		coordinator.WithColdRight(func(now time.Time, _ group.Group, _ bool) time.Time { return now.Add(time.Second) }),
+		coordinator.WithColdRight(e.coldRight),
 		coordinator.WithCounter(e.meter.Count))
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
@@ -166,7 +170,7 @@
 }
 
 func (e *Entry) newDispatcher() *dispatcher.Dispatcher {
-	options := []dispatcher.Option{dispatcher.WithCounter(e.meter.Count)}
+	options := []dispatcher.Option{dispatcher.WithCounter(e.meter.Count), dispatcher.WithColdDeadline(e.settings.ColdDeadline)}
 	switch e.settings.Policy {
 	case settings.PolicyTwoChoices:
 		return dispatcher.New(chooser.New(e.places), e.sender, e.places, options...)
@@ -200,6 +204,11 @@
 	e.coordinator.PeerDown(e.clock(), peer)
 }
 
+// coldRight returns until when this host may give work to the cold endpoints of a group that it owns.
+func (e *Entry) coldRight(now time.Time, g group.Group, needed bool) time.Time {
+	return e.warden.Right(now, e.assigner.Shard(g), needed)
+}
+
 // lost takes in that an endpoint closed a connection unasked.
 func (e *Entry) lost(address string) {
 	if h, listed := e.places.Directory().GetEndpointByAddress(address); listed {
