Name the own host in the log once, errors without stacks

Cause: log lines carried host_id twice and errors with the stack of their sentinel. Change: the own host is self; errors are logged as text.

--- a/poplarhook/cmd/run.go
+++ b/poplarhook/cmd/run.go
@@ -76,5 +76,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build log")
 	}
-	return logger.With(zap.String("host_id", s.HostID)), nil
+	return logger.With(zap.String("self", s.HostID)), nil
 }
--- a/poplarhook/modules/certifier/certifier.go
+++ b/poplarhook/modules/certifier/certifier.go
@@ -125,7 +125,7 @@
 		c.logger.Info("peer certificate reloaded")
 	}
 	if err != nil && !failing {
-		c.logger.Warn("peer certificate not reloaded, the old one stays in use", zap.Error(err))
+		c.logger.Warn("peer certificate not reloaded, the old one stays in use", zap.String("error", err.Error()))
 	}
 	return err != nil
 }
--- a/poplarhook/modules/linker/links.go
+++ b/poplarhook/modules/linker/links.go
@@ -143,7 +143,7 @@
 
 func (l *Linker) logEnd(peer string, err error) {
 	if errors.Is(err, ErrRefused) || errors.Is(err, ErrTooLarge) {
-		l.logger.Debug("link refused", zap.String("peer", peer), zap.Error(err))
+		l.logger.Debug("link refused", zap.String("peer", peer), zap.String("error", err.Error()))
 	}
 }
 
--- a/poplarhook/services/refresher/refresher.go
+++ b/poplarhook/services/refresher/refresher.go
@@ -94,7 +94,7 @@
 		return failing
 	}
 	if err != nil {
-		r.logger.Warn("host list unreachable", zap.Error(err))
+		r.logger.Warn("host list unreachable", zap.String("error", err.Error()))
 		return true
 	}
 	r.logger.Info("host list reachable again")
--- a/poplarhook/services/relayer/relayer.go
+++ b/poplarhook/services/relayer/relayer.go
@@ -164,7 +164,7 @@
 	var s snapshot.Snapshot
 	if err := json.Unmarshal(reply.GetSnapshotJson(), &s); err != nil || s.Revision != reply.GetRevision() {
 		r.count("snapshot_refused")
-		r.logger.Warn("configuration of a peer refused", zap.String("host_id", from), zap.Error(err))
+		r.logger.Warn("configuration of a peer refused", zap.String("host_id", from), zap.String("error", err.Error()))
 		return
 	}
 	now := r.clock()
--- a/poplarhook/services/relayer/spread.go
+++ b/poplarhook/services/relayer/spread.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		// The peer sees the revision in heartbeats and asks.
 		r.count("snapshot_unsent")
-		r.logger.Debug("configuration not sent", zap.String("host_id", to), zap.Error(err))
+		r.logger.Debug("configuration not sent", zap.String("host_id", to), zap.String("error", err.Error()))
 	}
 }
 
