Prove the lease over the real client and say what the stand-ins show

Cause: the lease's property test drives the state machine; nothing yet drove loop, HTTP client and store together. Change: a test lets two hosts contend through storer against the store with lost replies, hangs, older readings, outages and delay. Before: with a successor that does not wait (seeded on a scratch copy) the test fails at epoch 2. A term that never lapses, seeded likewise, passes it, as it pauses no holder; the property test and the traces fail on that one. After: six runs under the race detector pass, at least four epochs in each.

--- a/standin/doc.go
+++ b/standin/doc.go
@@ -1,2 +1,2 @@
-// Command standin is a program of poplarhook.
+// Command standin plays the platform, endpoints and slow links, for tests and demonstrations.
 package main
--- /dev/null
+++ b/standin/provider/lease_test.go
@@ -0,0 +1,80 @@
+package provider_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/leasekeeper"
+	"poplarhook.example/lib/leaser"
+	"poplarhook.example/lib/storer"
+	"poplarhook.example/standin/storekeeper"
+)
+
+const (
+	leaseTTL         = 90 * time.Millisecond
+	leaseMaxDeadline = 30 * time.Millisecond
+	leaseCallTimeout = 20 * time.Millisecond
+	faultTime        = 40 * time.Millisecond
+)
+
+// TestLeaseOverFaultyStore lets two hosts contend for the lease through the real client while the store fails in every way.
+func TestLeaseOverFaultyStore(t *testing.T) {
+	c := qt.New(t)
+	p, server := start(c)
+	keepers := []*leasekeeper.Leasekeeper{contend(c, server, "host-a"), contend(c, server, "host-b")}
+	faults := []func(*storekeeper.Settings){
+		func(s *storekeeper.Settings) { s.LoseReplies = 2 },
+		func(s *storekeeper.Settings) { s.Hang = true },
+		func(s *storekeeper.Settings) { s.Stale = true },
+		func(s *storekeeper.Settings) { s.Down = true },
+		func(s *storekeeper.Settings) { s.DelayMS = 15 },
+	}
+	workUntil := make([]time.Time, len(keepers))
+	epochs := make(map[int64]int)
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for round := range 4 * len(faults) {
+		// In every other round one host steps back, each in its turn.
+		keepers[0].Want(round%4 != 0)
+		keepers[1].Want(round%4 != 2)
+		p.Store().Change(faults[round%len(faults)])
+		for end := time.Now().Add(3 * faultTime); time.Now().Before(end); {
+			<-ticker.C
+			if time.Until(end) < 2*faultTime {
+				p.Store().Change(func(s *storekeeper.Settings) { *s = storekeeper.Settings{} })
+			}
+			for i, k := range keepers {
+				epoch, holds := k.Holds()
+				if !holds {
+					continue
+				}
+				now := time.Now()
+				c.Assert(workUntil[1-i].After(now), qt.IsFalse, qt.Commentf("epoch %d", epoch))
+				owner, known := epochs[epoch]
+				c.Assert(!known || owner == i, qt.IsTrue, qt.Commentf("epoch %d", epoch))
+				epochs[epoch] = i
+				workUntil[i] = now.Add(leaseMaxDeadline)
+			}
+		}
+	}
+	c.Assert(len(epochs) >= 4, qt.IsTrue, qt.Commentf("epochs %v", epochs))
+}
+
+// contend starts a host that wants the lease until the test ends.
+func contend(c *qt.C, server *httptest.Server, holder string) *leasekeeper.Leasekeeper {
+	client := storer.New(server.URL, storer.WithTimeout(leaseCallTimeout))
+	k := leasekeeper.New(client, "leases/cold", leaser.New(holder, leaseTTL, leaseMaxDeadline))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := k.Start(ctx)
+	k.Want(true)
+	c.Cleanup(func() {
+		cancel()
+		<-done
+		client.Close()
+	})
+	return k
+}
