--- a/standin/responder/work.go
+++ b/standin/responder/work.go
@@ -165,7 +165,7 @@
 	r.executions = append(r.executions, execution.Execution{
 		RequestID:     request.Header.Get("X-Request-Id"),
 		EndpointID:    r.host.ID,
-		Class:         request.Header.Get("X-Class"),
+		Class:         request.Header.Get("X-Request-Class"),
 		Method:        request.Method,
 		Path:          request.URL.Path,
 		Marker:        marker,
