Don't take time in which a host itself stood still for silence

Cause: with many hosts short of processor time, links that were only late were closed as silent, and the handshakes that followed took the time that was lacking. The old rule excused only pauses of more than half the silence.

Change: what a check is overdue isn't counted as silence, be it a pause or a slow process. A link that broke within 5 s counts as a failed dial for the backoff, which any short-lived link used to reset. 256 unfinished handshakes may run at once, as a fleet of a hundred exceeds 64; a handshake has 2 s.

--- a/poplarhook/modules/linker/dialer.go
+++ b/poplarhook/modules/linker/dialer.go
@@ -15,6 +15,8 @@
 	firstDialDelay = 150 * time.Millisecond
 	minBackoff     = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
+	// stableAfter is how long a link must last for the next dial to come at once.
+	stableAfter = 5 * time.Second
 )
 
 // dialer opens a link to one wanted peer whenever there is none.
@@ -30,23 +32,20 @@
 	if l.self.GetHostId() > d.id {
 		first = firstDialDelay
 	}
-	wait := first
-	backoff := minBackoff
+	wait, backoff := first, minBackoff
 	for sleep(ctx, wait) {
-		if l.isConnected(d.id) {
-			backoff = minBackoff
-			wait = first
-			if !d.awaitLoss(ctx) {
-				return
-			}
-			continue
+		since := l.clock()
+		if !l.isConnected(d.id) {
+			l.dial(ctx, l.target(d))
+		} else if !d.awaitLoss(ctx) {
+			return
 		}
-		before := l.clock()
-		l.dial(ctx, l.target(d))
-		if l.clock().Sub(before) > maxBackoff {
+		// A link that broke soon counts as a failed one, so that hosts short of processor time
+		// don't spend it on handshakes.
+		if l.clock().Sub(since) > stableAfter {
 			backoff = minBackoff
 		}
-		wait = jitter(backoff)
+		wait = first + jitter(backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	handshakeTimeout = time.Second
+	handshakeTimeout = 2 * time.Second
 	streamBacklog    = 4
 )
 
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -36,7 +36,7 @@
 
 	defaultSilence    = 1300 * time.Millisecond
 	defaultQueueLimit = 256
-	maxHandshakes     = 64
+	maxHandshakes     = 256
 	checkInterval     = 100 * time.Millisecond
 	// keepaliveAfter is how long a link may send nothing before an empty frame goes out; over half
 	// a second, so that heartbeats each second need only one between them.
--- a/poplarhook/modules/linker/links.go
+++ b/poplarhook/modules/linker/links.go
@@ -159,20 +159,19 @@
 		case <-ticker.C:
 		}
 		now := l.clock()
-		// After a pause of this process the links look silent though their bytes wait unread.
-		paused := now.Sub(last) > l.silence/2
+		late := max(now.Sub(last)-checkInterval, 0)
 		last = now
-		l.checkLinks(now, paused)
+		l.checkLinks(now, late)
 	}
 }
 
-func (l *Linker) checkLinks(now time.Time, paused bool) {
+// checkLinks counts as silence only time in which this process ran: late is how long its last
+// check was overdue, when bytes of the peers may have waited unread.
+func (l *Linker) checkLinks(now time.Time, late time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, k := range l.links {
-		if paused {
-			k.conn.lastRead.Store(now.UnixNano())
-		}
+		k.conn.lastRead.Add(int64(late))
 		if now.UnixNano()-k.conn.lastRead.Load() > int64(l.silence) {
 			l.silenced.Add(1)
 			l.logger.Info("peer silent", zap.String("host_id", id))
