Group imports alike

Cause: the project's own imports stand apart in most files. Change: they do so in the packages of links and members too. Conclusion: no change in what the code does.

--- a/lib/ranker/ranker_test.go
+++ b/lib/ranker/ranker_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
 	"poplarhook.example/lib/ranker"
 )
 
--- a/poplarhook/models/peerlist/peerlist_test.go
+++ b/poplarhook/models/peerlist/peerlist_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
 	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarhook/models/peerlist"
 )
--- a/poplarhook/models/roster/roster_test.go
+++ b/poplarhook/models/roster/roster_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/roster"
 )
--- a/poplarhook/models/scheduler/scheduler.go
+++ b/poplarhook/models/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"poplarhook.example/poplarhook/models/member"
 )
 
--- a/poplarhook/models/scheduler/scheduler_test.go
+++ b/poplarhook/models/scheduler/scheduler_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/scheduler"
 )
--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+
 	"poplarhook.example/lib/wire"
 )
 
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
+
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/modules/traffic"
--- a/poplarhook/modules/linker/linker_test.go
+++ b/poplarhook/modules/linker/linker_test.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/encoding/protodelim"
+
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/modules/linker"
--- a/poplarhook/modules/linker/links.go
+++ b/poplarhook/modules/linker/links.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+
 	"poplarhook.example/lib/wire"
 )
 
--- a/poplarhook/modules/linker/options.go
+++ b/poplarhook/modules/linker/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+
 	"poplarhook.example/lib/wire"
 )
 
--- a/poplarhook/modules/linker/outbox.go
+++ b/poplarhook/modules/linker/outbox.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+
 	"poplarhook.example/lib/wire"
 )
 
--- a/poplarhook/services/heartbeater/heartbeater.go
+++ b/poplarhook/services/heartbeater/heartbeater.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/member"
--- a/poplarhook/services/heartbeater/heartbeater_test.go
+++ b/poplarhook/services/heartbeater/heartbeater_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
+
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/member"
