--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
+
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/modules/traffic"
@@ -36,7 +37,7 @@
 
 	defaultSilence    = 1300 * time.Millisecond
 	defaultQueueLimit = 256
-	maxHandshakes     = 64
+	maxHandshakes     = 256
 	checkInterval     = 100 * time.Millisecond
 	// keepaliveAfter is how long a link may send nothing before an empty frame goes out; over half
 	// a second, so that heartbeats each second need only one between them.
