Replace the owner in the property test, and refuse cheaper

Cause: the joint test of lender and borrower kept one lender for life; the admitter looked through its queue at each start; one failure took a warm endpoint's limit back to one however far it had climbed.

Change: the test's owner is replaced at any time and grants nothing until everything in flight is known or over. The admitter looks through the queue once each millisecond, and a start counts for the service rate only where there was a queue. A failure halves the warmer's limit, and the limit climbs no higher than the slots allow.

Seen: with grants at once by a new owner, on a scratch copy, the test fails on the limit.

--- a/lib/admitter/admitter.go
+++ b/lib/admitter/admitter.go
@@ -8,6 +8,8 @@
 const (
 	defaultHalfLife = 500 * time.Millisecond
 	defaultMinBusy  = 50 * time.Millisecond
+	// walkEvery is the least time between two looks at the whole queue.
+	walkEvery = time.Millisecond
 )
 
 // Option changes a setting of an Admitter.
@@ -31,6 +33,7 @@
 	// queue holds what waits in the order in which it is served.
 	queue    []waiter
 	arrivals uint64
+	walkedAt time.Time
 }
 
 type waiter struct {
@@ -38,6 +41,7 @@
 	urgency int
 	until   time.Time
 	arrival uint64
+	since   time.Time
 }
 
 // compare orders by urgency, then deadline, then arrival.
@@ -67,7 +71,7 @@
 func (a *Admitter) Admit(now time.Time, id uint64, urgency int, until time.Time) []uint64 {
 	a.meter.pass(now, len(a.queue) > 0)
 	a.arrivals++
-	w := waiter{id: id, urgency: urgency, until: until, arrival: a.arrivals}
+	w := waiter{id: id, urgency: urgency, until: until, arrival: a.arrivals, since: now}
 	at, _ := slices.BinarySearchFunc(a.queue, w, waiter.compare)
 	if a.isHopeless(now, w, at) {
 		return []uint64{id}
@@ -79,7 +83,8 @@
 // Start takes a request out of the queue because it has been sent.
 func (a *Admitter) Start(now time.Time, id uint64) {
 	a.meter.pass(now, len(a.queue) > 0)
-	if w, ok := a.remove(id); ok {
+	others := len(a.queue) > 1
+	if w, ok := a.remove(id); ok && (others || now.After(w.since)) {
 		a.meter.start(w.urgency)
 	}
 }
@@ -95,9 +100,13 @@
 	a.meter.serve(took)
 }
 
-// Tick returns the requests to refuse by now; it is to be called before requests are started.
+// Tick returns the requests to refuse by now, once it measures at most each millisecond; it is to be called before requests are started.
 func (a *Admitter) Tick(now time.Time) []uint64 {
 	a.meter.pass(now, len(a.queue) > 0)
+	if a.meter.interval() > 0 && now.Sub(a.walkedAt) < walkEvery {
+		return nil
+	}
+	a.walkedAt = now
 	return a.refuseFrom(now, 0)
 }
 
--- a/lib/borrower/property_test.go
+++ b/lib/borrower/property_test.go
@@ -79,7 +79,8 @@
 				n := w.drawNode()
 				w.kill(n)
 			},
-			"cut": func(*rapid.T) { w.cut(w.drawNode()) },
+			"owner": func(*rapid.T) { w.replaceOwner() },
+			"cut":   func(*rapid.T) { w.cut(w.drawNode()) },
 			"hold": func(*rapid.T) {
 				hold := rapid.IntRange(0, 100).Draw(w.t, "hold")
 				w.drawNode().borrower.SetHold(time.Duration(hold) * time.Millisecond)
--- a/lib/borrower/world_test.go
+++ b/lib/borrower/world_test.go
@@ -58,6 +58,8 @@
 	caps     []capacity.Capacity
 	ids      uint64
 	names    int
+	// quietUntil is when a new owner may grant.
+	quietUntil time.Time
 }
 
 func newWorld(t *rapid.T) *world {
@@ -186,6 +188,9 @@
 }
 
 func (w *world) tick() {
+	if w.now.Equal(w.quietUntil) {
+		w.grant(w.lender.SetCapacities(w.now, w.caps))
+	}
 	w.grant(w.lender.Tick(w.now))
 	for _, name := range w.lender.Recalls(w.now) {
 		for _, n := range w.nodes {
@@ -221,7 +226,9 @@
 		}
 	}
 	w.caps = caps
-	w.grant(w.lender.SetCapacities(w.now, caps))
+	if !w.now.Before(w.quietUntil) {
+		w.grant(w.lender.SetCapacities(w.now, caps))
+	}
 	for _, n := range w.nodes {
 		w.do(n, n.borrower.SetCapacities(w.now, caps))
 	}
@@ -241,10 +248,26 @@
 	w.addNode()
 }
 
+// replaceOwner starts a new owner, which grants nothing until all in flight is known or over.
+func (w *world) replaceOwner() {
+	w.lender = lender.New()
+	w.frames = nil
+	w.quietUntil = w.now.Add(longestService + longestDelay)
+	w.lender.AllowCold(w.now.Add(time.Second))
+	for _, n := range w.nodes {
+		w.join(n)
+	}
+}
+
 // cut breaks the connection between a borrower and the owner; a new one is open at once.
 func (w *world) cut(n *node) {
 	w.dropFrames(n)
 	w.grant(w.lender.Forget(w.now, n.name, w.now.Add(lostFor)))
+	w.join(n)
+}
+
+// join tells the owner what is in flight, before anything else.
+func (w *world) join(n *node) {
 	for _, h := range n.borrower.InFlight() {
 		w.send(n, false, func() { w.grant(w.lender.Hold(w.now, n.name, h.Endpoint, h.Count)) })
 	}
--- a/lib/warmer/state.go
+++ b/lib/warmer/state.go
@@ -73,11 +73,11 @@
 // climb raises the limit by one for each round of answers at the present limit.
 func (w *Warmer) climb(answers int) {
 	w.climbed += answers
-	for w.limit < maxLimit && w.climbed >= w.limit*w.rampStep {
+	for w.limit < w.ceiling && w.climbed >= w.limit*w.rampStep {
 		w.climbed -= w.limit * w.rampStep
 		w.limit++
 	}
-	if w.limit == maxLimit {
+	if w.limit >= w.ceiling {
 		w.climbed = 0
 	}
 }
--- a/lib/warmer/warmer.go
+++ b/lib/warmer/warmer.go
@@ -65,6 +65,8 @@
 
 	limit   int
 	climbed int
+	// ceiling is the limit that the slots allow, zero while they are unknown.
+	ceiling int
 
 	leaving     bool
 	leavingAt   time.Time
@@ -166,10 +168,10 @@
 	w.believe()
 }
 
-// Failure notes a request that failed by the endpoint's fault; several in a row close it for a time.
+// Failure notes a request that failed by the endpoint's fault; it halves the limit, and several in a row close the endpoint for a time.
 func (w *Warmer) Failure(now time.Time) {
 	w.failures++
-	w.limit = coldLimit
+	w.limit = max(w.limit/2, coldLimit)
 	w.climbed = 0
 	if w.failures < w.failureThreshold || now.Before(w.failedUntil) {
 		return
@@ -195,13 +197,15 @@
 
 // Limit returns how many requests the endpoint may have in flight over all entry hosts.
 func (w *Warmer) Limit(now time.Time, slots int) int {
+	w.ceiling = min(slots+1, maxLimit)
 	if !w.Open(now) {
 		return 0
 	}
 	if !w.warm {
 		return coldLimit
 	}
-	return min(w.limit, slots+1)
+	w.limit = min(w.limit, w.ceiling)
+	return w.limit
 }
 
 // Cold reports whether the endpoint gets single requests only.
--- a/lib/warmer/warmer_test.go
+++ b/lib/warmer/warmer_test.go
@@ -20,6 +20,7 @@
 func listed() *warmer.Warmer {
 	w := warmer.New()
 	w.SetListed(at(0), true, false, "i1")
+	w.Limit(at(0), slots)
 	return w
 }
 
@@ -54,6 +55,12 @@
 	w.Failure(at(21))
 	c.Assert(w.Limit(at(21), slots), qt.Equals, 1)
 	c.Assert(w.Reason(at(21), slots), qt.Equals, warmer.ReasonRamping)
+	for i := range 12 {
+		w.Success(at(22+i), "i1", at(22+i), 1)
+	}
+	c.Assert(w.Limit(at(40), 4*slots), qt.Equals, 3, qt.Commentf("more slots are climbed to"))
+	w.Success(at(41), "i1", at(41), 6)
+	c.Assert(w.Limit(at(41), 4*slots), qt.Equals, 4)
 }
 
 func TestDoubtIsCold(t *testing.T) {
