Hand the lease for cold work over without waiting for work that was never sent

Change: a release names what is left of the last work's deadline; the right to grant cold credits lasts 250 ms and is asked for only while work waits; the lease's term is 3 s and cold work ends within 1 s.

--- a/lib/lease/lease.go
+++ b/lib/lease/lease.go
@@ -48,9 +48,11 @@
 	return time.Duration(l.TTLMS+l.MaxDeadlineMS) * time.Millisecond
 }
 
-// WithoutTerm returns a copy that nobody holds any more.
-func (l Lease) WithoutTerm() Lease {
+// Released returns a copy that nobody holds any more, whose last work ends within the given time.
+func (l Lease) Released(within time.Duration) Lease {
 	l.Holder = ""
 	l.TTLMS = 0
+	roundedUp := max(within, 0) + time.Millisecond - time.Nanosecond
+	l.MaxDeadlineMS = min(roundedUp.Milliseconds(), l.MaxDeadlineMS)
 	return l
 }
--- a/lib/leasekeeper/leasekeeper.go
+++ b/lib/leasekeeper/leasekeeper.go
@@ -68,6 +68,13 @@
 	return k.leaser.Holds(k.clock())
 }
 
+// Use notes that work under the lease may be sent until the given time, which a successor has to wait out.
+func (k *Leasekeeper) Use(until time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaser.Use(until)
+}
+
 // Until returns the time from which the lease must not be used, which is past while it may not be used at all.
 func (k *Leasekeeper) Until() time.Time {
 	k.mu.Lock()
--- a/lib/leaser/leaser.go
+++ b/lib/leaser/leaser.go
@@ -53,7 +53,9 @@
 	own       bool
 	termStart time.Time
 	// settled is false from any error until the store shows again what it holds.
-	settled   bool
+	settled bool
+	// usedUntil is the latest time at which work may have been sent under the lease.
+	usedUntil time.Time
 	notBefore time.Time
 	lookedAt  time.Time
 }
@@ -103,12 +105,20 @@
 	if !l.wanted || !l.own || !l.settled || l.lapsed(now) {
 		return 0, false
 	}
+	l.Use(now)
 	return l.current.Epoch, true
 }
 
+// Use notes that work under the lease may be sent until the given time, which a successor has to wait out.
+func (l *Leaser) Use(until time.Time) {
+	if until.After(l.usedUntil) {
+		l.usedUntil = until
+	}
+}
+
 // Until returns the time from which the lease must not be used, which is past while it may not be used at all.
 func (l *Leaser) Until(now time.Time) time.Time {
-	if _, holds := l.Holds(now); !holds {
+	if !l.wanted || !l.own || !l.settled || l.lapsed(now) {
 		return time.Time{}
 	}
 	return l.termStart.Add(l.ttl - l.margin)
@@ -125,7 +135,7 @@
 	case l.busy:
 		return wait(l.ttl)
 	case !l.wanted:
-		return l.nextUnwanted()
+		return l.nextUnwanted(now)
 	case now.Before(l.notBefore):
 		return wait(l.notBefore.Sub(now))
 	case !l.settled:
@@ -180,7 +190,7 @@
 	}
 }
 
-func (l *Leaser) nextUnwanted() leasestep.Step {
+func (l *Leaser) nextUnwanted(now time.Time) leasestep.Step {
 	if !l.own {
 		return wait(l.ttl)
 	}
@@ -188,7 +198,7 @@
 	l.own = false
 	l.settled = false
 	l.unsettled = nil
-	return l.write(l.current.WithoutTerm())
+	return l.write(l.current.Released(l.usedUntil.Add(l.maxDeadline).Sub(now)))
 }
 
 func (l *Leaser) nextOwned(now time.Time) leasestep.Step {
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -47,7 +47,7 @@
 // New returns a Lender that knows no endpoints and may not lend cold ones.
 func New(options ...Option) *Lender {
 	l := &Lender{
-		coldValidity:   defaultColdValidity,
+		coldValidity:   ColdValidity,
 		trickle:        defaultTrickle,
 		recallInterval: defaultRecallInterval,
 		endpoints:      make(map[string]*endpoint),
@@ -191,6 +191,15 @@
 	return borrowers
 }
 
+// Lent returns how many credits are out.
+func (l *Lender) Lent() int {
+	lent := 0
+	for _, e := range l.ordered {
+		lent += e.total
+	}
+	return lent
+}
+
 // Waiting returns how many demanded rights wait.
 func (l *Lender) Waiting() int {
 	return l.waiting.Len()
--- a/lib/lender/options.go
+++ b/lib/lender/options.go
@@ -2,8 +2,10 @@
 
 import "time"
 
+// ColdValidity is how long after its grant a cold credit may be used, if no option says otherwise.
+const ColdValidity = time.Second
+
 const (
-	defaultColdValidity   = time.Second
 	defaultTrickle        = 50 * time.Millisecond
 	defaultRecallInterval = 5 * time.Millisecond
 )
--- a/poplarhook/modules/settings/settings.go
+++ b/poplarhook/modules/settings/settings.go
@@ -45,8 +45,8 @@
 	DrainLimit         time.Duration `env:"DRAIN_LIMIT" envDefault:"30s" flag:"drain-limit" unit:"duration" help:"longest time a planned stop waits for running requests"`
 	OwnerTimeout       time.Duration `env:"OWNER_TIMEOUT" envDefault:"25ms" flag:"owner-timeout" unit:"duration" help:"wait for a silent owner before the host binds alone"`
 	ColdShards         int           `env:"COLD_SHARDS" envDefault:"8" flag:"cold-shards" unit:"shards/region" help:"leases for cold work in each region"`
-	LeaseTTL           time.Duration `env:"LEASE_TTL" envDefault:"6s" flag:"lease-ttl" unit:"duration" help:"term of a lease for cold work"`
-	ColdDeadline       time.Duration `env:"COLD_DEADLINE" envDefault:"2s" flag:"cold-deadline" unit:"duration" help:"longest time a cold endpoint is given for one request"`
+	LeaseTTL           time.Duration `env:"LEASE_TTL" envDefault:"3s" flag:"lease-ttl" unit:"duration" help:"term of a lease for cold work"`
+	ColdDeadline       time.Duration `env:"COLD_DEADLINE" envDefault:"1s" flag:"cold-deadline" unit:"duration" help:"longest time a cold endpoint is given for one request"`
 	StoreTimeout       time.Duration `env:"STORE_TIMEOUT" envDefault:"2s" flag:"store-timeout" unit:"duration" help:"longest time a call to the store may take"`
 	WatchWait          time.Duration `env:"WATCH_WAIT" envDefault:"20s" flag:"watch-wait" unit:"duration" help:"longest time one watch waits for a change"`
 	PeerCA             string        `env:"PEER_CA" flag:"peer-ca" unit:"file or PEM" help:"authority that signs the peers' certificates; none turns TLS off" secret:"true"`
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -101,9 +101,9 @@
 	return a.deliver(now, a.owned.lender.Tick(now))
 }
 
-// HasCold reports whether this host owns the group and some endpoint of it is cold.
-func (a *Arbiter) HasCold(now time.Time) bool {
-	return a.owned != nil && a.owned.hasCold(now)
+// NeedsCold reports whether this host owns the group, some endpoint of it is cold and work waits or is under way.
+func (a *Arbiter) NeedsCold(now time.Time) bool {
+	return a.owned != nil && a.owned.hasDemand() && a.owned.hasCold(now)
 }
 
 // PeerGone notes that the link to a peer broke; what it had in flight counts until the given time.
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -81,6 +81,11 @@
 	return false
 }
 
+// hasDemand reports whether work waits for the group or is under way.
+func (o *ownership) hasDemand() bool {
+	return o.lender.Waiting() > 0 || o.lender.Lent() > 0
+}
+
 func (o *ownership) isBusy() bool {
 	return o.lender.Waiting() > 0 || len(o.told) > 0
 }
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -86,7 +86,7 @@
 
 // WithColdRight sets what tells until when this host may give work to the cold endpoints of a group that it owns.
 //
-// It is asked often, and told whether the group has cold endpoints.
+// It is asked often, and told whether work waits for cold endpoints of the group.
 func WithColdRight(right func(now time.Time, g group.Group, wanted bool) (until time.Time)) Option {
 	return func(c *Coordinator) { c.coldRight = right }
 }
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -114,7 +114,7 @@
 		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
 	}
 	if in.arbiter.IsOwner() {
-		until := c.coldRight(now, g, in.arbiter.HasCold(now))
+		until := c.coldRight(now, g, in.arbiter.NeedsCold(now))
 		c.perform(now, in, in.arbiter.AllowCold(now, until))
 	}
 	c.perform(now, in, in.arbiter.Tick(now))
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/assembler"
+	"poplarhook.example/lib/lender"
 	"poplarhook.example/lib/lister"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/lib/storer"
@@ -138,7 +139,7 @@
 	}, options...)
 	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
-	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, s.ColdDeadline, e.clock,
+	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, lender.ColdValidity, s.ColdDeadline, e.clock,
 		func(now time.Time, shard string) bool { return e.assigner.OwnerOfShard(now, shard) == self.ID })
 	e.assembler = assembler.New(e.store)
 	e.relayer = relayer.New(e.store, e.assembler, e.links, e.roster,
--- a/poplarhook/services/warden/warden.go
+++ b/poplarhook/services/warden/warden.go
@@ -19,7 +19,9 @@
 const (
 	// keepFor is how long a lease is kept after its shard last had cold endpoints, so that it does not change hands for nothing.
 	keepFor     = 30 * time.Second
-	reviewEvery = 200 * time.Millisecond
+	reviewEvery = 100 * time.Millisecond
+	// rightFor is how long a right lasts without being asked for again.
+	rightFor = 250 * time.Millisecond
 )
 
 // store holds the leases.
@@ -34,8 +36,10 @@
 	holder   string
 	ttl      time.Duration
 	deadline time.Duration
-	clock    func() time.Time
-	owns     func(now time.Time, shard string) bool
+	// sendWithin is how long after its grant a cold credit may still be used.
+	sendWithin time.Duration
+	clock      func() time.Time
+	owns       func(now time.Time, shard string) bool
 
 	mu      sync.Mutex
 	ctx     context.Context
@@ -48,20 +52,23 @@
 	ended    <-chan struct{}
 	wanted   bool
 	neededAt time.Time
+	// askedAt is when the right was last asked for, as the shard's owner does.
+	askedAt time.Time
 }
 
-// New returns a Warden whose leases last for ttl, for work that ends within deadline of its sending.
+// New returns a Warden whose leases last for ttl, for work that is sent within sendWithin of its grant and ends within deadline of that.
 //
 // Owns tells which shards this host owns; the leases of others are given up.
-func New(s store, holder string, ttl, deadline time.Duration, clock func() time.Time, owns func(now time.Time, shard string) bool) *Warden {
+func New(s store, holder string, ttl, sendWithin, deadline time.Duration, clock func() time.Time, owns func(now time.Time, shard string) bool) *Warden {
 	return &Warden{
-		store:    s,
-		holder:   holder,
-		ttl:      ttl,
-		deadline: deadline,
-		clock:    clock,
-		owns:     owns,
-		keepers:  make(map[string]*keeper),
+		store:      s,
+		holder:     holder,
+		ttl:        ttl,
+		deadline:   deadline,
+		sendWithin: sendWithin,
+		clock:      clock,
+		owns:       owns,
+		keepers:    make(map[string]*keeper),
 	}
 }
 
@@ -96,7 +103,7 @@
 		now := w.clock()
 		w.mu.Lock()
 		for shard, k := range w.keepers {
-			if k.wanted && !w.owns(now, shard) {
+			if k.wanted && !w.owns(now, shard) && now.Sub(k.askedAt) > rightFor {
 				k.wanted = false
 				k.neededAt = time.Time{}
 				k.Want(false)
@@ -106,7 +113,9 @@
 	}
 }
 
-// Right returns until when this host may give work to the shard's cold endpoints; needed says that there are some.
+// Right returns until when this host may grant credits for the shard's cold endpoints, zero if it may not.
+//
+// Needed says that work waits for some. The owner of the shard asks again and again.
 func (w *Warden) Right(now time.Time, shard string, needed bool) time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -117,6 +126,7 @@
 	if k == nil {
 		k = w.start(shard)
 	}
+	k.askedAt = now
 	if needed {
 		k.neededAt = now
 	}
@@ -124,7 +134,15 @@
 		k.wanted = wanted
 		k.Want(wanted)
 	}
-	return k.Until()
+	until := k.Until()
+	if !needed || until.IsZero() {
+		return time.Time{}
+	}
+	if right := now.Add(rightFor); right.Before(until) {
+		until = right
+	}
+	k.Use(until.Add(w.sendWithin))
+	return until
 }
 
 // Leases returns the leases that this host has wanted, as the store last showed them.
