Let urgent work use cold endpoints rather than wait

Cause: urgent demands were kept off cold endpoints while any warm one was open. Ruled out: the lease (a region alone with work of normal urgency warmed in 0.25 s under the same load). Change: urgent demands take a free warm endpoint first, a cold one rather than wait, and warm one that has gone without work for four trickle intervals.

--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -7,6 +7,9 @@
 	"poplarhook.example/lib/demand"
 )
 
+// starvedTrickles is how many trickle intervals a cold endpoint goes without work before urgent work warms it.
+const starvedTrickles = 4
+
 // pair holds the best endpoint and the next, which serves where the best is excluded.
 type pair [2]*endpoint
 
@@ -45,38 +48,34 @@
 	warm pair
 	// trickle holds cold endpoints that need a request to warm up.
 	trickle pair
+	// starved holds those that have waited so long for one that urgent work serves too.
+	starved pair
 	// spare holds cold endpoints that can bear one more request.
 	spare pair
-	// hasWarm says that some warm endpoint is open, if only later.
-	hasWarm bool
 }
 
 func (c *choice) isEmpty() bool {
 	return c.warm[0] == nil && c.trickle[0] == nil && c.spare[0] == nil
 }
 
-// pick keeps urgent work off cold endpoints unless there are no warm ones.
+// pick keeps urgent work off cold endpoints while a warm one is free, unless they would never warm up.
 func (c *choice) pick(excluded string, urgency int) *endpoint {
-	urgent := urgency >= demand.UrgencyHigh && c.hasWarm
-	if !urgent {
-		if e := c.trickle.pick(excluded); e != nil {
+	needy := &c.trickle
+	if urgency >= demand.UrgencyHigh {
+		needy = &c.starved
+	}
+	for _, from := range []*pair{needy, &c.warm, &c.trickle, &c.spare} {
+		if e := from.pick(excluded); e != nil {
 			return e
 		}
 	}
-	if e := c.warm.pick(excluded); e != nil {
-		return e
-	}
-	if urgent {
-		return nil
-	}
-	return c.spare.pick(excluded)
+	return nil
 }
 
 func (l *Lender) choose(now time.Time) choice {
 	var c choice
 	coldAllowed := now.Before(l.coldUntil)
 	for _, e := range l.ordered {
-		c.hasWarm = c.hasWarm || (e.open && !e.cold && e.limit > 0)
 		switch {
 		case !e.isFree(now):
 		case !e.cold:
@@ -84,6 +83,9 @@
 		case !coldAllowed:
 		case e.total == 0 && now.Sub(e.warmedAt) >= l.trickle:
 			c.trickle.add(e)
+			if now.Sub(later(e.warmedAt, e.coldSince)) >= starvedTrickles*l.trickle {
+				c.starved.add(e)
+			}
 		default:
 			c.spare.add(e)
 		}
--- a/lib/lender/endpoint.go
+++ b/lib/lender/endpoint.go
@@ -23,7 +23,9 @@
 	warmedAt  time.Time
 	// coldEnds is when the last cold credit can no longer be used.
 	coldEnds time.Time
-	loans    map[string]*lent
+	// coldSince is when the endpoint was last found to have turned cold.
+	coldSince time.Time
+	loans     map[string]*lent
 }
 
 // lent is what one borrower has of the endpoint.
@@ -33,11 +35,21 @@
 	orphanedUntil time.Time
 }
 
-func (e *endpoint) setCapacity(c capacity.Capacity) {
+func (e *endpoint) setCapacity(now time.Time, c capacity.Capacity) {
+	if c.Cold && !e.cold {
+		e.coldSince = now
+	}
 	e.limit = max(c.Limit, 0)
 	e.cold = c.Cold
 	e.open = c.Open
-	e.listed = c != capacity.Capacity{Endpoint: e.id}
+	e.listed = true
+}
+
+// unlist closes the endpoint until a capacity names it again.
+func (e *endpoint) unlist() {
+	e.limit = 0
+	e.open = false
+	e.listed = false
 }
 
 // isFree waits, after the endpoint has turned warm, until no cold credit is out that could meet it cold again.
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -63,10 +63,10 @@
 // SetCapacities replaces what the endpoints may bear; one that is missing is closed.
 func (l *Lender) SetCapacities(now time.Time, capacities []capacity.Capacity) []credit.Credit {
 	for _, e := range l.ordered {
-		e.setCapacity(capacity.Capacity{Endpoint: e.id})
+		e.unlist()
 	}
 	for _, c := range capacities {
-		l.endpoint(c.Endpoint).setCapacity(c)
+		l.endpoint(c.Endpoint).setCapacity(now, c)
 	}
 	l.sweep(now)
 	return l.grant(now)
