Probe endpoints that give no sign, within the control budget

Cause: an endpoint without traffic could leave, restart or fall silent unseen until a request met it, and its owner had no connection to watch. Change: owners ask /healthz of endpoints not heard for probe-interval; a health answer closes or doubts, it never proves warmth.

--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 	// received holds when each waiting demand of a peer came, so that a cold credit's life counts from its sending.
 	received map[right]received
 	told     map[string]time.Time
+	// heard holds when each endpoint last gave a sign.
+	heard map[string]time.Time
 }
 
 type right struct {
@@ -51,6 +54,7 @@
 		warmers:  make(map[string]*warmer.Warmer),
 		received: make(map[right]received),
 		told:     make(map[string]time.Time),
+		heard:    make(map[string]time.Time),
 	}
 }
 
@@ -174,6 +178,9 @@
 	if !listed {
 		return
 	}
+	if !r.Cancelled {
+		o.heard[endpoint] = now
+	}
 	switch {
 	case r.Cancelled:
 		if r.Latency >= lateAfter {
@@ -207,9 +214,42 @@
 	w.Observe(now, endpointreport.Report{Incarnation: s.GetIncarnation(), Cold: s.GetCold(), Leaving: s.GetLeaving()})
 }
 
+// probed takes in what an endpoint's health says, which proves no warmth.
+func (o *ownership) probed(now time.Time, endpoint string, r report.Report) {
+	w, listed := o.warmers[endpoint]
+	if !listed {
+		return
+	}
+	o.heard[endpoint] = now
+	if r.Err != nil {
+		w.ConnectionReset(now)
+		w.Failure(now)
+		return
+	}
+	if r.Loaded {
+		w.Observe(now, endpointreport.Report{Incarnation: r.Incarnation, Cold: r.Cold, Leaving: r.Leaving})
+	}
+}
+
+// unheard returns the endpoints that have given no sign for the given time.
+func (o *ownership) unheard(now time.Time, since time.Duration) []host.Host {
+	var hosts []host.Host
+	for _, h := range o.hosts {
+		if now.Sub(o.heard[h.ID]) >= since {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // completed takes in how many requests of a peer a warm endpoint has answered.
 func (o *ownership) completed(now time.Time, endpoint string, count int) {
-	if w, listed := o.warmers[endpoint]; listed && count > 0 && !w.Cold(now) {
+	w, listed := o.warmers[endpoint]
+	if !listed || count == 0 {
+		return
+	}
+	o.heard[endpoint] = now
+	if !w.Cold(now) {
 		w.Success(now, "", now, count)
 	}
 }
@@ -239,4 +279,5 @@
 		listed[h.ID] = w
 	}
 	o.warmers = listed
+	maps.DeleteFunc(o.heard, func(id string, _ time.Time) bool { return listed[id] == nil })
 }
--- a/poplarhook/services/arbiter/request.go
+++ b/poplarhook/services/arbiter/request.go
@@ -47,6 +47,27 @@
 	return a.tell(now, &wire.Sighting{EndpointId: endpoint, Failed: true})
 }
 
+// Probed takes in what an endpoint's health says and passes news on.
+func (a *Arbiter) Probed(now time.Time, endpoint string, r report.Report) effect.Effect {
+	if a.owned == nil {
+		return effect.Effect{}
+	}
+	a.owned.probed(now, endpoint, r)
+	e := a.lend(now)
+	if r.Leaving {
+		e.Add(a.tellLeaving(now, endpoint, r.Incarnation))
+	}
+	return e
+}
+
+// Unheard returns the endpoints of an owned group that have given no sign for the given time.
+func (a *Arbiter) Unheard(now time.Time, since time.Duration) []host.Host {
+	if a.owned == nil {
+		return nil
+	}
+	return a.owned.unheard(now, since)
+}
+
 // observe takes in what an exchange showed and tells the owner what is news.
 func (a *Arbiter) observe(now time.Time, endpoint string, cold bool, r report.Report) effect.Effect {
 	var e effect.Effect
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -9,6 +9,7 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/report"
 	"poplarhook.example/poplarhook/services/arbiter"
 )
 
@@ -79,6 +80,22 @@
 	c.perform(now, in, in.arbiter.Lost(now, endpoint.ID))
 }
 
+// Unheard returns the endpoints of owned groups that have given no sign for the given time.
+func (c *Coordinator) Unheard(now time.Time, since time.Duration) []host.Host {
+	var hosts []host.Host
+	c.each(func(_ group.Group, in *cell) { hosts = append(hosts, in.arbiter.Unheard(now, since)...) })
+	return hosts
+}
+
+// Probed takes in what an endpoint's health says.
+func (c *Coordinator) Probed(endpoint host.Host, r report.Report) {
+	now := c.clock()
+	in := c.cellFor(group.Group{Service: endpoint.Service, Region: endpoint.Region})
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.perform(now, in, in.arbiter.Probed(now, endpoint.ID, r))
+}
+
 // Run does what the passing of time calls for until the context ends; the channel gives the end.
 func (c *Coordinator) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -34,6 +34,7 @@
 	"poplarhook.example/poplarhook/services/governor"
 	"poplarhook.example/poplarhook/services/heartbeater"
 	"poplarhook.example/poplarhook/services/locator"
+	"poplarhook.example/poplarhook/services/prober"
 	"poplarhook.example/poplarhook/services/refresher"
 	"poplarhook.example/poplarhook/services/relayer"
 	"poplarhook.example/poplarhook/services/sender"
@@ -58,6 +59,7 @@
 	heartbeats  *heartbeater.Heartbeater
 	assigner    *assigner.Assigner
 	warden      *warden.Warden
+	prober      *prober.Prober
 	relayer     *relayer.Relayer
 	assembler   *assembler.Assembler
 	certifier   *certifier.Certifier
@@ -165,6 +167,7 @@
 		coordinator.WithOrphanFor(s.ColdDeadline),
 		coordinator.WithColdRight(e.coldRight),
 		coordinator.WithCounter(e.meter.Count))
+	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
 		caller.WithMaxBody(s.MaxBody), caller.WithCounter(e.meter.CountRequest))
--- /dev/null
+++ b/poplarhook/services/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober asks endpoints that get no work how they are.
+package prober
