--- a/poplarhook/modules/settings/check.go
+++ b/poplarhook/modules/settings/check.go
@@ -105,8 +105,8 @@
 	if s.ColdShards < 1 || s.ColdShards > maxShards {
 		return invalid("cold-shards", s.ColdShards, fmt.Sprintf("1 to %d", maxShards))
 	}
-	if s.MaxWaitingRequests < 1 {
-		return invalid("max-waiting-requests", s.MaxWaitingRequests, "1 or more")
+	if s.MaxRequests < 1 {
+		return invalid("max-requests", s.MaxRequests, "1 or more")
 	}
 	return nil
 }
@@ -140,8 +140,11 @@
 	if s.ProofAge < 0 || s.ProofAge > s.ReuseAge {
 		return invalid("proof-age", s.ProofAge, "0 to reuse-age")
 	}
-	if s.HoldMax < 0 || s.DrainNotice < 0 {
-		return invalid("hold-max or drain-notice", min(s.HoldMax, s.DrainNotice), "0 or more")
+	if s.HoldMax < 0 {
+		return invalid("hold-max", s.HoldMax, "0 or more")
+	}
+	if s.DrainNotice < 0 {
+		return invalid("drain-notice", s.DrainNotice, "0 or more")
 	}
 	return nil
 }
--- a/poplarhook/modules/settings/settings.go
+++ b/poplarhook/modules/settings/settings.go
@@ -1,6 +1,9 @@
 package settings
 
 import (
+	"os"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/caarlos0/env/v11"
@@ -31,41 +34,71 @@
 	AdminTokens      string `env:"ADMIN_TOKENS" flag:"admin-tokens" unit:"team:token,..." help:"bearer tokens of the administration API" secret:"true"`
 	LogLevel         string `env:"LOG_LEVEL" envDefault:"info" flag:"log-level" unit:"" help:"debug, info, warn or error"`
 
-	ControlBudget      int           `env:"CONTROL_BUDGET" envDefault:"65536" flag:"control-budget" unit:"bytes/s" help:"most that this host sends for control"`
-	HoldMax            time.Duration `env:"HOLD_MAX" envDefault:"5s" flag:"hold-max" unit:"duration" help:"longest time an idle credit is kept"`
-	HedgeShare         float64       `env:"HEDGE_SHARE" envDefault:"0.05" flag:"hedge-share" unit:"share" help:"most hedges per recent idempotent request"`
-	RetryShare         float64       `env:"RETRY_SHARE" envDefault:"0.1" flag:"retry-share" unit:"share" help:"most retries per recent idempotent request"`
-	MaxBody            int64         `env:"MAX_BODY" envDefault:"1048576" flag:"max-body" unit:"bytes" help:"largest body of a request"`
-	MaxHeader          int           `env:"MAX_HEADER" envDefault:"32768" flag:"max-header" unit:"bytes" help:"largest head of a request"`
-	ReadTimeout        time.Duration `env:"READ_TIMEOUT" envDefault:"10s" flag:"read-timeout" unit:"duration" help:"longest time a caller may take to send a request"`
-	IdleTimeout        time.Duration `env:"IDLE_TIMEOUT" envDefault:"60s" flag:"idle-timeout" unit:"duration" help:"longest time a caller's connection may be idle"`
-	ProofAge           time.Duration `env:"PROOF_AGE" envDefault:"250ms" flag:"proof-age" unit:"duration" help:"once-only work uses a connection only if it answered within this time"`
-	ReuseAge           time.Duration `env:"REUSE_AGE" envDefault:"10s" flag:"reuse-age" unit:"duration" help:"other work uses a connection only if it answered within this time"`
-	DrainNotice        time.Duration `env:"DRAIN_NOTICE" envDefault:"2s" flag:"drain-notice" unit:"duration" help:"time between looking unready and closing to callers at a planned stop"`
-	DrainLimit         time.Duration `env:"DRAIN_LIMIT" envDefault:"30s" flag:"drain-limit" unit:"duration" help:"longest time a planned stop waits for running requests"`
-	OwnerTimeout       time.Duration `env:"OWNER_TIMEOUT" envDefault:"25ms" flag:"owner-timeout" unit:"duration" help:"wait for a silent owner before the host binds alone"`
-	ColdShards         int           `env:"COLD_SHARDS" envDefault:"8" flag:"cold-shards" unit:"shards/region" help:"leases for cold work in each region"`
-	LeaseTTL           time.Duration `env:"LEASE_TTL" envDefault:"3s" flag:"lease-ttl" unit:"duration" help:"term of a lease for cold work"`
-	ColdDeadline       time.Duration `env:"COLD_DEADLINE" envDefault:"1s" flag:"cold-deadline" unit:"duration" help:"longest time a cold endpoint is given for one request"`
-	StoreTimeout       time.Duration `env:"STORE_TIMEOUT" envDefault:"2s" flag:"store-timeout" unit:"duration" help:"longest time a call to the store may take"`
-	WatchWait          time.Duration `env:"WATCH_WAIT" envDefault:"20s" flag:"watch-wait" unit:"duration" help:"longest time one watch waits for a change"`
-	PeerCA             string        `env:"PEER_CA" flag:"peer-ca" unit:"file or PEM" help:"authority that signs the peers' certificates; none turns TLS off" secret:"true"`
-	PeerCertificate    string        `env:"PEER_CERTIFICATE" flag:"peer-certificate" unit:"file or PEM" help:"this host's certificate towards peers" secret:"true"`
-	PeerKey            string        `env:"PEER_KEY" flag:"peer-key" unit:"file or PEM" help:"key of this host's certificate" secret:"true"`
-	ProbeInterval      time.Duration `env:"PROBE_INTERVAL" envDefault:"1s" flag:"probe-interval" unit:"duration" help:"time between health probes of an endpoint that gets no work"`
-	HeartbeatInterval  time.Duration `env:"HEARTBEAT_INTERVAL" envDefault:"250ms" flag:"heartbeat-interval" unit:"duration" help:"time between heartbeats to peers in the region"`
-	HeartbeatTimeout   time.Duration `env:"HEARTBEAT_TIMEOUT" envDefault:"1s" flag:"heartbeat-timeout" unit:"duration" help:"silence after which a peer counts as dead"`
-	MaxWaitingRequests int           `env:"MAX_WAITING_REQUESTS" envDefault:"4096" flag:"max-waiting-requests" unit:"requests" help:"most requests that wait on this host at once"`
+	ControlBudget     int           `env:"CONTROL_BUDGET" envDefault:"65536" flag:"control-budget" unit:"bytes/s" help:"most that this host sends for control"`
+	HoldMax           time.Duration `env:"HOLD_MAX" envDefault:"5s" flag:"hold-max" unit:"duration" help:"longest time an idle credit is kept"`
+	HedgeShare        float64       `env:"HEDGE_SHARE" envDefault:"0.05" flag:"hedge-share" unit:"share" help:"most hedges per recent idempotent request"`
+	RetryShare        float64       `env:"RETRY_SHARE" envDefault:"0.1" flag:"retry-share" unit:"share" help:"most retries per recent idempotent request"`
+	MaxBody           int64         `env:"MAX_BODY" envDefault:"1048576" flag:"max-body" unit:"bytes" help:"largest body of a request"`
+	MaxHeader         int           `env:"MAX_HEADER" envDefault:"32768" flag:"max-header" unit:"bytes" help:"largest head of a request"`
+	ReadTimeout       time.Duration `env:"READ_TIMEOUT" envDefault:"10s" flag:"read-timeout" unit:"duration" help:"longest time a caller may take to send a request"`
+	IdleTimeout       time.Duration `env:"IDLE_TIMEOUT" envDefault:"60s" flag:"idle-timeout" unit:"duration" help:"longest time a caller's connection may be idle"`
+	ProofAge          time.Duration `env:"PROOF_AGE" envDefault:"250ms" flag:"proof-age" unit:"duration" help:"once-only work uses a connection only if it answered within this time"`
+	ReuseAge          time.Duration `env:"REUSE_AGE" envDefault:"10s" flag:"reuse-age" unit:"duration" help:"other work uses a connection only if it answered within this time"`
+	DrainNotice       time.Duration `env:"DRAIN_NOTICE" envDefault:"2s" flag:"drain-notice" unit:"duration" help:"time between looking unready and closing to callers at a planned stop"`
+	DrainLimit        time.Duration `env:"DRAIN_LIMIT" envDefault:"30s" flag:"drain-limit" unit:"duration" help:"longest time a planned stop waits for running requests"`
+	OwnerTimeout      time.Duration `env:"OWNER_TIMEOUT" envDefault:"25ms" flag:"owner-timeout" unit:"duration" help:"wait for a silent owner before the host binds alone"`
+	ColdShards        int           `env:"COLD_SHARDS" envDefault:"8" flag:"cold-shards" unit:"shards/region" help:"leases for cold work in each region"`
+	LeaseTTL          time.Duration `env:"LEASE_TTL" envDefault:"3s" flag:"lease-ttl" unit:"duration" help:"term of a lease for cold work"`
+	ColdDeadline      time.Duration `env:"COLD_DEADLINE" envDefault:"1s" flag:"cold-deadline" unit:"duration" help:"longest time a cold endpoint is given for one request"`
+	StoreTimeout      time.Duration `env:"STORE_TIMEOUT" envDefault:"2s" flag:"store-timeout" unit:"duration" help:"longest time a call to the store may take"`
+	WatchWait         time.Duration `env:"WATCH_WAIT" envDefault:"20s" flag:"watch-wait" unit:"duration" help:"longest time one watch waits for a change"`
+	PeerCA            string        `env:"PEER_CA" flag:"peer-ca" unit:"file or PEM" help:"authority that signs the peers' certificates; none turns TLS off" secret:"true"`
+	PeerCertificate   string        `env:"PEER_CERTIFICATE" flag:"peer-certificate" unit:"file or PEM" help:"this host's certificate towards peers" secret:"true"`
+	PeerKey           string        `env:"PEER_KEY" flag:"peer-key" unit:"file or PEM" help:"key of this host's certificate" secret:"true"`
+	ProbeInterval     time.Duration `env:"PROBE_INTERVAL" envDefault:"1s" flag:"probe-interval" unit:"duration" help:"time between health probes of an endpoint that gets no work"`
+	HeartbeatInterval time.Duration `env:"HEARTBEAT_INTERVAL" envDefault:"250ms" flag:"heartbeat-interval" unit:"duration" help:"time between heartbeats to peers in the region"`
+	HeartbeatTimeout  time.Duration `env:"HEARTBEAT_TIMEOUT" envDefault:"1s" flag:"heartbeat-timeout" unit:"duration" help:"silence after which a peer counts as dead"`
+	MaxRequests       int           `env:"MAX_REQUESTS" envDefault:"4096" flag:"max-requests" unit:"requests" help:"most requests under way on this host at once"`
 }
 
 // Prefix is the start of the name of every environment variable of the entry process.
 const Prefix = "POPLARHOOK_"
 
 // FromEnvironment returns the defaults overlaid with what the environment sets.
+//
+// A variable that starts with the prefix and names no setting is refused.
 func FromEnvironment() (Settings, error) {
+	if err := checkVariables(os.Environ()); err != nil {
+		return Settings{}, err
+	}
 	var s Settings
-	if err := env.ParseWithOptions(&s, env.Options{Prefix: Prefix}); err != nil {
+	err := env.ParseWithOptions(&s, env.Options{Prefix: Prefix})
+	var parse env.ParseError
+	if errors.As(err, &parse) {
+		return Settings{}, invalid(variableOf(parse.Name), os.Getenv(variableOf(parse.Name)), "a value of type "+parse.Type.String())
+	}
+	if err != nil {
 		return Settings{}, errors.Wrapf(ErrInvalid, "environment: %v", err)
 	}
 	return s, nil
 }
+
+func checkVariables(environment []string) error {
+	known := make(map[string]bool)
+	for _, setting := range List() {
+		known[setting.Variable] = true
+	}
+	for _, assignment := range environment {
+		name, _, _ := strings.Cut(assignment, "=")
+		if strings.HasPrefix(name, Prefix) && !known[name] {
+			return errors.Wrapf(ErrInvalid, "%s names no setting: `poplarhook settings` lists those allowed", name)
+		}
+	}
+	return nil
+}
+
+// variableOf returns the environment variable of the field.
+func variableOf(field string) string {
+	f, _ := reflect.TypeFor[Settings]().FieldByName(field)
+	return Prefix + f.Tag.Get("env")
+}
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -37,6 +37,7 @@
 	classifier func() classifier
 	dispatcher dispatcher
 	maxBody    int64
+	places     chan struct{}
 	counter    func(outcome, class string, took time.Duration)
 }
 
@@ -58,7 +59,15 @@
 	return func(c *Caller) { c.counter = count }
 }
 
-const defaultMaxBody = 1 << 20
+// WithMaxRequests sets how many requests may be under way at once.
+func WithMaxRequests(n int) Option {
+	return func(c *Caller) { c.places = make(chan struct{}, n) }
+}
+
+const (
+	defaultMaxBody     = 1 << 20
+	defaultMaxRequests = 4096
+)
 
 // New returns a Caller; classify gives the classifier in force, or nil before there is a configuration.
 func New[C classifier](classify func() (C, bool), d dispatcher, options ...Option) *Caller {
@@ -66,6 +75,7 @@
 		clock:      time.Now,
 		dispatcher: d,
 		maxBody:    defaultMaxBody,
+		places:     make(chan struct{}, defaultMaxRequests),
 		counter:    func(string, string, time.Duration) {},
 	}
 	c.classifier = func() classifier {
@@ -83,6 +93,13 @@
 // ServeHTTP classifies, reads, dispatches and answers one request.
 func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := c.clock()
+	select {
+	case c.places <- struct{}{}:
+		defer func() { <-c.places }()
+	default:
+		c.refuse(w, job.Job{Arrived: arrived}, refusal.NotRun(http.StatusServiceUnavailable, "too many requests are under way on this host").WithRetryAfter(time.Second))
+		return
+	}
 	j, err := c.read(w, r, arrived)
 	if err != nil {
 		c.refuse(w, j, err)
--- a/poplarhook/services/coordinator/coordinator_test.go
+++ b/poplarhook/services/coordinator/coordinator_test.go
@@ -115,7 +115,9 @@
 	t.Cleanup(func() {
 		cancel()
 		for _, end := range ends {
-			<-end
+			if err := <-end; err != nil {
+				t.Error(err)
+			}
 		}
 	})
 	return n
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -20,6 +20,7 @@
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/roster"
+	"poplarhook.example/poplarhook/models/scheduler"
 	"poplarhook.example/poplarhook/modules/certifier"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
@@ -139,7 +140,8 @@
 		PeerAddress:      self.PeerAddress,
 		AdminAddress:     self.AdminAddress,
 	}, options...)
-	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
+	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger),
+		heartbeater.WithScheduler(scheduler.New(self, scheduler.WithInterval(s.HeartbeatInterval))))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
 	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, lender.ColdValidity, s.ColdDeadline, e.clock,
 		func(now time.Time, shard string) bool { return e.assigner.OwnerOfShard(now, shard) == self.ID })
@@ -170,7 +172,7 @@
 	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
-		caller.WithMaxBody(s.MaxBody), caller.WithCounter(e.meter.CountRequest))
+		caller.WithMaxBody(s.MaxBody), caller.WithMaxRequests(s.MaxRequests), caller.WithCounter(e.meter.CountRequest))
 }
 
 func (e *Entry) newDispatcher() *dispatcher.Dispatcher {
--- a/tests/fleet/bin.go
+++ b/tests/fleet/bin.go
@@ -8,7 +8,7 @@
 )
 
 // BinVariable names the folder of built programs for tests; ../../bin when it is not set.
-const BinVariable = "POPLARHOOK_BIN"
+const BinVariable = "FLEET_BIN"
 
 // ErrNotBuilt is returned when the programs have not been built.
 var ErrNotBuilt = errors.New("programs are not built: run make build")
