Prove once-only work under kills, freezes and broken endpoints

Cause: nothing showed with separate processes that an order runs at most once and that a refusal saying "not run" is true.

Change: a test sends orders through five entry hosts while three of six endpoints reset connections, fall silent, answer by halves, forget connections and restart, one entry host is frozen and thawed and one is killed. Outcomes are compared by id with the endpoints' own records.

--- /dev/null
+++ b/tests/failures/once_only_test.go
@@ -0,0 +1,41 @@
+package failures_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/poplarbench/outcome"
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/fleet"
+)
+
+// Orders run at most once, and what is said to be not run was not run, while entry hosts are killed and frozen
+// and endpoints break off, fall silent, answer by halves and restart.
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	running := start(t, pohja(deployment.Service{Name: "allocation", Servers: 6}), fleet.WithEntries(5))
+	entries := running.Entries()
+	endpoints := running.Endpoints()
+	l := offer(t, running, 200, running.EntryAddresses(), orders())
+	l.awaitServed(t, 100)
+	for _, faults := range []endpointFaults{
+		{Abrupt: new(true)}, {Silent: new(true)}, {Truncate: new(true)}, {ForgetConnections: true}, {Restart: true},
+	} {
+		for _, endpoint := range endpoints[:3] {
+			control(t, running, endpoint, faults)
+		}
+		l.awaitSeen(t, 100)
+		qt.Assert(t, running.ControlEndpoints(t.Context(), endpointFaults{Abrupt: new(false), Silent: new(false), Truncate: new(false)}), qt.IsNil)
+	}
+	qt.Assert(t, running.Freeze(entries[1].ID), qt.IsNil)
+	qt.Assert(t, running.Kill(entries[0].ID), qt.IsNil)
+	l.awaitServed(t, 200)
+	qt.Assert(t, running.Thaw(entries[1].ID), qt.IsNil)
+	l.awaitServed(t, 200)
+	from := time.Now()
+	l.awaitServed(t, 100)
+	f := l.end(t)
+	f.assertTrue(t)
+	qt.Check(t, f.between(from, time.Now()).count(outcome.Served) > 0, qt.IsTrue)
+}
