Put an oracle beside the measured policies, and measure budgets and overload

Cause: the noisy bench had no bound to compare with, and nothing measured the tail under a small control budget or goodput above capacity. Change: tests/oracle models the policy that knows every true queue (no network, no processor time, the same arrivals and paces of noisy endpoints); the bench gains the experiments budget and overload, and results the time to a refusal.

--- a/poplarbench/recorder/tally.go
+++ b/poplarbench/recorder/tally.go
@@ -1,6 +1,8 @@
 package recorder
 
 import (
+	"time"
+
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"poplarhook.example/poplarbench/outcome"
@@ -11,10 +13,12 @@
 type tally struct {
 	counts    result.Totals
 	histogram *hdrhistogram.Histogram
+	// refusals holds the latencies of requests refused as not run.
+	refusals *hdrhistogram.Histogram
 }
 
 func newTally(digits int) *tally {
-	return &tally{histogram: newHistogram(digits)}
+	return &tally{histogram: newHistogram(digits), refusals: newHistogram(digits)}
 }
 
 func (t *tally) add(o outcome.Outcome) {
@@ -22,11 +26,10 @@
 	switch o.Kind {
 	case outcome.Served:
 		t.counts.Served++
-		micros := min(max(o.Latency.Microseconds(), lowestMicros), highestLatency.Microseconds())
-		// The value lies within the histogram's bounds, so it is always taken.
-		_ = t.histogram.RecordValue(micros)
+		observe(t.histogram, o.Latency)
 	case outcome.NotRun:
 		t.counts.NotRun++
+		observe(t.refusals, o.Latency)
 	case outcome.Unknown:
 		t.counts.Unknown++
 	case outcome.WrongAnswer:
@@ -36,15 +39,23 @@
 	}
 }
 
+func observe(histogram *hdrhistogram.Histogram, latency time.Duration) {
+	micros := min(max(latency.Microseconds(), lowestMicros), highestLatency.Microseconds())
+	// The value lies within the histogram's bounds, so it is always taken.
+	_ = histogram.RecordValue(micros)
+}
+
 func (t *tally) totals() result.Totals {
 	totals := t.counts
 	totals.Latency = result.Latency{
-		P50MS:  t.percentile(percentileMedian),
-		P90MS:  t.percentile(percentile90),
-		P99MS:  t.percentile(percentile99),
-		P999MS: t.percentile(percentile999),
+		P50MS:  percentileOf(t.histogram, percentileMedian),
+		P90MS:  percentileOf(t.histogram, percentile90),
+		P99MS:  percentileOf(t.histogram, percentile99),
+		P999MS: percentileOf(t.histogram, percentile999),
 		MaxMS:  float64(t.histogram.Max()) / microsPerMilli,
 	}
+	totals.RefusalP50MS = percentileOf(t.refusals, percentileMedian)
+	totals.RefusalP99MS = percentileOf(t.refusals, percentile99)
 	return totals
 }
 
@@ -55,10 +66,10 @@
 		Served:   t.counts.Served,
 		Refusals: t.counts.NotRun + t.counts.Unknown,
 		Broken:   t.counts.Broken + t.counts.WrongAnswer,
-		P99MS:    t.percentile(percentile99),
+		P99MS:    percentileOf(t.histogram, percentile99),
 	}
 }
 
-func (t *tally) percentile(percent float64) float64 {
-	return float64(t.histogram.ValueAtQuantile(percent)) / microsPerMilli
+func percentileOf(histogram *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(histogram.ValueAtQuantile(percent)) / microsPerMilli
 }
--- a/poplarbench/result/result.go
+++ b/poplarbench/result/result.go
@@ -42,6 +42,9 @@
 	WrongAnswer int64 `json:"wrong_answer"`
 	Account
 	Latency
+	// RefusalP50MS and RefusalP99MS tell how long callers waited to hear that a request was not run, in milliseconds.
+	RefusalP50MS float64 `json:"refusal_p50_ms"`
+	RefusalP99MS float64 `json:"refusal_p99_ms"`
 }
 
 // Account is what the comparison with the endpoints' records has found.
--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -26,6 +26,7 @@
 	seeds     []uint64
 	entries   int
 	duration  time.Duration
+	arguments []string
 }
 
 func main() {
@@ -49,11 +50,12 @@
 	parser.String(&s.bin, "", "bin", "folder of the built programs")
 	parser.String(&s.scenarios, "", "scenarios", "folder of the scenario files")
 	parser.String(&s.results, "", "results", "folder for the result files")
-	parser.String(&s.only, "", "only", "one experiment: noisy, zone, added or cost; all when empty")
+	parser.String(&s.only, "", "only", "one experiment: noisy, zone, added, cost, budget or overload; all when empty")
 	parser.StringSlice(&s.policies, "", "policy", "policy to measure; repeat for more (default: owner, two_choices, random)")
 	parser.UInt64Slice(&s.seeds, "", "seed", "seed of a run; repeat for more (default: 1, 2, 3)")
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
 	parser.Duration(&s.duration, "", "duration", "time of each run in place of its scenario's; 0s keeps it")
+	parser.StringSlice(&s.arguments, "", "entry-argument", "argument for every entry host, such as --entry-argument=--hedge-share=0.1; repeat for more")
 	if err := parser.ParseArgs(arguments); err != nil {
 		return errors.Wrap(err, "reading the arguments")
 	}
@@ -71,7 +73,7 @@
 	if err != nil {
 		return errors.Wrap(err, "--bin")
 	}
-	options := []bencher.Option{bencher.WithEntries(s.entries), bencher.WithDuration(s.duration)}
+	options := []bencher.Option{bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...)}
 	if len(s.policies) > 0 {
 		options = append(options, bencher.WithPolicies(s.policies...))
 	}
@@ -88,15 +90,19 @@
 		return b.Added(ctx)
 	case "cost":
 		return b.Cost(ctx)
+	case "budget":
+		return b.Budget(ctx)
+	case "overload":
+		return b.Overload(ctx)
 	case "":
 		return all(ctx, b)
 	default:
-		return errors.Wrapf(errFlag, "--only: value %q, allowed: noisy, zone, added, cost", s.only)
+		return errors.Wrapf(errFlag, "--only: value %q, allowed: noisy, zone, added, cost, budget, overload", s.only)
 	}
 }
 
 func all(ctx context.Context, b *bencher.Bencher) error {
-	for _, experiment := range []func(context.Context) error{b.Noisy, b.Zone, b.Added, b.Cost} {
+	for _, experiment := range []func(context.Context) error{b.Noisy, b.Zone, b.Added, b.Cost, b.Budget, b.Overload} {
 		if err := experiment(ctx); err != nil {
 			return err
 		}
--- a/tests/bencher/added.go
+++ b/tests/bencher/added.go
@@ -26,6 +26,7 @@
 	d := deployment.Kite()
 	running, err := fleet.Start(ctx, b.bin, d.WithServices(d.Services[0]),
 		fleet.WithEntries(b.entries),
+		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithPolicy(defaultPolicy),
 		fleet.WithEndpointArguments("--mean-service-ms", "0"),
 	)
--- a/tests/bencher/bencher.go
+++ b/tests/bencher/bencher.go
@@ -37,6 +37,8 @@
 	seeds     []uint64
 	entries   int
 	duration  time.Duration
+	// arguments are handed to every entry host.
+	arguments []string
 }
 
 // Option changes a bencher under construction.
@@ -62,6 +64,11 @@
 	return func(b *Bencher) { b.duration = duration }
 }
 
+// WithEntryArguments hands further arguments to every entry host.
+func WithEntryArguments(arguments ...string) Option {
+	return func(b *Bencher) { b.arguments = append(b.arguments, arguments...) }
+}
+
 // New returns a bencher of the programs in bin that reads scenario files, writes result files and prints tables to out.
 func New(bin, scenarios, results string, out io.Writer, clock func() time.Time, options ...Option) *Bencher {
 	b := &Bencher{
--- a/tests/bencher/cost.go
+++ b/tests/bencher/cost.go
@@ -55,6 +55,7 @@
 	d := deployment.Kite()
 	running, err := fleet.Start(ctx, b.bin, d.WithServices(d.Services[0]),
 		fleet.WithEntries(b.entries),
+		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithPolicy(defaultPolicy),
 		fleet.WithEndpointArguments("--mean-service-ms", "1"),
 	)
--- a/tests/bencher/noisy.go
+++ b/tests/bencher/noisy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -11,6 +12,7 @@
 	"poplarhook.example/poplarbench/scenario"
 	"poplarhook.example/tests/deployment"
 	"poplarhook.example/tests/fleet"
+	"poplarhook.example/tests/oracle"
 	"poplarhook.example/tests/spread"
 )
 
@@ -19,6 +21,14 @@
 	"--mean-service-ms", "4", "--spell-factor", "6", "--spell-length-ms", "40", "--spell-interval-ms", "400",
 }
 
+const millisPerSecond = 1000
+
+// Labels of the models that know every true queue.
+const (
+	oracleRegion     = "oracle (model), own region"
+	oracleEverywhere = "oracle (model), all regions"
+)
+
 // Noisy measures the tail of fabric lookups under noisy endpoints for each policy and seed.
 func (b *Bencher) Noisy(ctx context.Context) error {
 	load, err := b.load("noisy")
@@ -38,14 +48,39 @@
 	if err != nil {
 		return err
 	}
-	return b.noisyTable(all)
+	bounds, err := b.oracles(load)
+	if err != nil {
+		return err
+	}
+	return b.noisyTable(slices.Concat(b.policies, []string{oracleRegion, oracleEverywhere}), append(all, bounds...))
 }
 
-func (b *Bencher) noisyRun(ctx context.Context, load scenario.Scenario, policy string) (result.Result, error) {
+// fabricStock is the deployment with the stock service only, as the others get no load.
+func fabricStock() deployment.Deployment {
 	d := deployment.Brandstaetter()
-	// The other services get no load, so only the stock service runs.
-	d = d.WithServices(d.Services[0])
-	running, err := fleet.Start(ctx, b.bin, d,
+	return d.WithServices(d.Services[0])
+}
+
+// oracles models the same loads under the policy that knows every true queue.
+func (b *Bencher) oracles(load scenario.Scenario) ([]result.Result, error) {
+	var all []result.Result
+	for _, seed := range b.seeds {
+		region, err := oracle.New(fabricStock(), b.entries).Run(load.WithSeed(seed), oracleRegion)
+		if err != nil {
+			return nil, err
+		}
+		everywhere, err := oracle.New(fabricStock(), b.entries, oracle.WithEverywhere()).Run(load.WithSeed(seed), oracleEverywhere)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, region, everywhere)
+	}
+	return all, nil
+}
+
+func (b *Bencher) noisyRun(ctx context.Context, load scenario.Scenario, policy string) (result.Result, error) {
+	running, err := fleet.Start(ctx, b.bin, fabricStock(),
+		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithEntries(b.entries),
 		fleet.WithPolicy(policy),
 		fleet.WithEndpointArguments(noisyEndpoints...),
@@ -58,10 +93,10 @@
 	return measured, stop(running, err)
 }
 
-func (b *Bencher) noisyTable(all []result.Result) error {
+func (b *Bencher) noisyTable(policies []string, all []result.Result) error {
 	table := aligner.New()
 	table.Addf("policy\tp50_ms\tp99_ms\tp99_9_ms\tserved_%%\tnot_run\tunknown+broken\textra_%%\tcontrol B/s per host\tlate_sends\t")
-	for _, policy := range b.policies {
+	for _, policy := range policies {
 		var p50, p99, p999, served, notRun, unknown, extra, control, late []float64
 		for _, r := range all {
 			if r.Label != policy {
@@ -87,8 +122,12 @@
 }
 
 func percent(part, whole int64) float64 {
+	return percentOf(float64(part), float64(whole))
+}
+
+func percentOf(part, whole float64) float64 {
 	if whole == 0 {
 		return 0
 	}
-	return 100 * float64(part) / float64(whole)
+	return 100 * part / whole
 }
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -57,6 +57,7 @@
 func (b *Bencher) zoneRun(ctx context.Context, load scenario.Scenario, policy string) (result.Result, error) {
 	running, err := fleet.Start(ctx, b.bin, deployment.Kite(),
 		fleet.WithEntries(b.entries),
+		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithPolicy(policy),
 		fleet.WithEndpointArguments(coldEndpoints...),
 		fleet.WithEndpointArguments("--seed", fmt.Sprint(load.Seed)),
