Tell an endpoint's closed connection from a failed request, visit only busy groups

Cause: an endpoint that closed three idle connections counted as failed three times and was shut out for a second; requests that this host held back itself counted against the endpoint; every tick of 5 ms visited every group, 200 visits a second for each of 3600. Change: a sighting of its own for closed connections, which makes cold and no more; ErrHeldBack; ticks visit groups in which something waits, others in ten parts a second or at once when members change.

--- a/poplarhook/cmd/run.go
+++ b/poplarhook/cmd/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(s, entry.Listeners{Callers: callers, Peers: peers, Admin: admin}, logger)
+	e, err := entry.New(s, entry.Listeners{Callers: callers, Peers: peers, Admin: admin}, logger, time.Now)
 	if err != nil {
 		return err
 	}
--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -15,6 +15,9 @@
 // ErrNotSent says that no byte of the request left this host.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrHeldBack says that this host sent nothing, for a reason of its own and not the endpoint's.
+var ErrHeldBack = errors.New("request was held back")
+
 // ErrBroken says that the exchange broke after bytes of the request had left.
 var ErrBroken = errors.New("exchange broke off")
 
@@ -102,12 +105,12 @@
 // Exchange sends the request once and returns the endpoint's answer.
 //
 // A kept connection is used only if the endpoint answered on it within proofAge.
-// Nothing is sent from sendBy on, unless that is zero. The error is ErrNotSent
-// or ErrBroken. The caller closes the answer's body.
+// Nothing is sent from sendBy on, unless that is zero. The error is ErrHeldBack,
+// ErrNotSent or ErrBroken. The caller closes the answer's body.
 func (e *Exchanger) Exchange(ctx context.Context, request *http.Request, proofAge time.Duration, sendBy time.Time) (*http.Response, error) {
 	var message bytes.Buffer
 	if err := request.Write(&message); err != nil {
-		return nil, errors.Wrapf(ErrNotSent, "encode request for %s: %v", e.address, err)
+		return nil, errors.Wrapf(ErrHeldBack, "encode request for %s: %v", e.address, err)
 	}
 	l, err := e.take(ctx, proofAge)
 	if err != nil {
@@ -115,7 +118,7 @@
 	}
 	if !sendBy.IsZero() && !e.clock().Before(sendBy) {
 		e.keep(l) //nolint:contextcheck // the watch over an idle connection outlives the request
-		return nil, errors.Wrapf(ErrNotSent, "the right to send to %s ended at %s", e.address, sendBy)
+		return nil, errors.Wrapf(ErrHeldBack, "the right to send to %s ended at %s", e.address, sendBy)
 	}
 	stop := l.interruptOn(ctx)
 	if err := l.send(message.Bytes()); err != nil {
@@ -231,7 +234,7 @@
 	defer e.mu.Unlock()
 	if e.open >= e.maxOpen {
 		if len(e.idle) == 0 {
-			return errors.Wrapf(ErrNotSent, "%d connections to %s are open, the most allowed", e.open, e.address)
+			return errors.Wrapf(ErrHeldBack, "%d connections to %s are open, the most allowed", e.open, e.address)
 		}
 		oldest := e.idle[0]
 		e.idle = e.idle[1:]
--- a/poplarhook/modules/exchanger/exchanger_test.go
+++ b/poplarhook/modules/exchanger/exchanger_test.go
@@ -183,7 +183,7 @@
 	now := time.Now()
 	e := exchanger.New(fake.listener.Addr().String(), exchanger.WithClock(func() time.Time { return now }))
 	_, err := e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, now)
-	c.Assert(errors.Is(err, exchanger.ErrNotSent), quicktest.IsTrue)
+	c.Assert(errors.Is(err, exchanger.ErrHeldBack), quicktest.IsTrue)
 	c.Assert(fake.count(), quicktest.Equals, 0)
 }
 
--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -67,6 +67,11 @@
 	maxDemanded  = 16384
 )
 
+// Group returns the group that the Arbiter decides for.
+func (a *Arbiter) Group() group.Group {
+	return a.group
+}
+
 // Owner returns the entry host that owns the group, empty for none.
 func (a *Arbiter) Owner() string {
 	return a.owner
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -203,6 +203,10 @@
 	if !listed {
 		return
 	}
+	if s.GetReset_() {
+		w.ConnectionReset(now)
+		return
+	}
 	if s.GetFailed() {
 		w.ConnectionReset(now)
 		w.Failure(now)
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -129,6 +129,10 @@
 	if a.owned == nil {
 		return e
 	}
+	if s.GetWarm() {
+		e.Add(a.lend(now))
+		return e
+	}
 	for _, peer := range a.owned.borrowersOf(s.GetEndpointId(), a.self) {
 		if peer != from {
 			e.Send(peer, &wire.Frame{Body: &wire.Frame_Sighting{Sighting: s}})
--- a/poplarhook/services/arbiter/request.go
+++ b/poplarhook/services/arbiter/request.go
@@ -44,7 +44,7 @@
 	if _, listed := a.byID[endpoint]; !listed {
 		return effect.Effect{}
 	}
-	return a.tell(now, &wire.Sighting{EndpointId: endpoint, Failed: true})
+	return a.tell(now, &wire.Sighting{EndpointId: endpoint, Reset_: true})
 }
 
 // Probed takes in what an endpoint's health says and passes news on.
@@ -122,7 +122,7 @@
 // see takes a sighting in.
 func (a *Arbiter) see(now time.Time, s *wire.Sighting) effect.Effect {
 	endpoint := s.GetEndpointId()
-	if s.GetFailed() || s.GetCold() {
+	if s.GetFailed() || s.GetReset_() || s.GetCold() {
 		a.observer.Doubt(now, endpoint)
 	}
 	if s.GetLeaving() {
--- a/poplarhook/services/assigner/assigner.go
+++ b/poplarhook/services/assigner/assigner.go
@@ -75,6 +75,18 @@
 	return a.rank(region, names).Owner(shard)
 }
 
+// Fingerprint changes whenever owners may have changed.
+func (a *Assigner) Fingerprint(now time.Time) uint64 {
+	digest := xxhash.New()
+	if a.roster.Fresh(now) {
+		_, _ = digest.WriteString(shardSeparator)
+	}
+	for _, m := range a.roster.Candidates(now) {
+		_, _ = digest.WriteString(m.ID + shardSeparator)
+	}
+	return digest.Sum64()
+}
+
 // Sharers returns how many live entry hosts share the endpoints, at least one.
 func (a *Assigner) Sharers(now time.Time) int {
 	return max(len(a.roster.Live(now)), 1)
--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -71,6 +71,7 @@
 	in := c.cellFor(b.Group)
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	c.activate(in)
 	if b.Alone {
 		c.perform(now, in, in.arbiter.FinishAlone(now, b.Endpoint.ID, r))
 		return
@@ -97,6 +98,7 @@
 	r.id = c.lastID.Add(1)
 	r.bound = make(chan libbinding.Binding, 1)
 	r.cell.waiting[r.id] = r.bound
+	c.activate(r.cell)
 	r.unsent = !c.perform(now, r.cell, r.cell.arbiter.Ask(now, r.id, r.wish))
 	r.unsent = r.unsent || r.cell.arbiter.Owner() == ""
 }
--- a/poplarhook/services/coordinator/cell.go
+++ b/poplarhook/services/coordinator/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"poplarhook.example/lib/binding"
 	"poplarhook.example/poplarhook/services/arbiter"
@@ -13,6 +14,8 @@
 	arbiter *arbiter.Arbiter
 	// waiting holds where each waiting request expects its bond; a closed channel says that none came in time.
 	waiting map[uint64]chan binding.Binding
+	// active says that the cell is among those that are visited at each tick.
+	active atomic.Bool
 }
 
 func (c *cell) deliver(b binding.Binding) bool {
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -33,6 +33,8 @@
 type members interface {
 	Owner(now time.Time, g group.Group) string
 	Sharers(now time.Time) int
+	// Fingerprint changes whenever owners may have changed.
+	Fingerprint(now time.Time) uint64
 }
 
 // connections tells whether a connection is open on which no close was seen.
@@ -55,10 +57,15 @@
 	coldRight    func(now time.Time, g group.Group, wanted bool) (until time.Time)
 	lastID       atomic.Uint64
 
-	mu       sync.RWMutex
-	cells    map[group.Group]*cell
+	mu    sync.RWMutex
+	cells map[group.Group]*cell
+	// order holds the cells as they were made; it only grows.
+	order    []*cell
 	byNumber map[uint32]group.Group
 	hold     time.Duration
+
+	activeMu sync.Mutex
+	active   []*cell
 }
 
 // Option changes how a Coordinator is built.
@@ -140,6 +147,7 @@
 	defer created.mu.Unlock()
 	c.update(c.clock(), g, created)
 	c.cells[g] = created
+	c.order = append(c.order, created)
 	c.byNumber[g.Number()] = g
 	return created
 }
@@ -182,20 +190,25 @@
 // each calls visit for every cell, locked.
 func (c *Coordinator) each(visit func(g group.Group, in *cell)) {
 	c.mu.RLock()
-	groups := make([]group.Group, 0, len(c.cells))
-	cells := make([]*cell, 0, len(c.cells))
-	for g, in := range c.cells {
-		groups = append(groups, g)
-		cells = append(cells, in)
-	}
+	cells := c.order
 	c.mu.RUnlock()
-	for i, in := range cells {
+	for _, in := range cells {
 		in.mu.Lock()
-		visit(groups[i], in)
+		visit(in.arbiter.Group(), in)
 		in.mu.Unlock()
 	}
 }
 
+// activate has the cell visited at each tick until it has nothing to wait for.
+func (c *Coordinator) activate(in *cell) {
+	if in.active.Swap(true) {
+		return
+	}
+	c.activeMu.Lock()
+	defer c.activeMu.Unlock()
+	c.active = append(c.active, in)
+}
+
 // perform does what a locked cell's arbiter wants and reports whether every demand was sent.
 func (c *Coordinator) perform(now time.Time, in *cell, e effect.Effect) (sent bool) {
 	sent = true
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -15,8 +15,10 @@
 
 const (
 	tickEvery = 5 * time.Millisecond
-	// sweepEvery is how many ticks pass between visits to idle groups.
+	// sweepEvery is how many ticks pass between two parts of the visits to idle groups.
 	sweepEvery = 20
+	// sweepParts is in how many parts the idle groups are visited.
+	sweepParts = 10
 )
 
 // Receive takes in a frame about a group from another entry host; frames about unknown groups are counted.
@@ -29,6 +31,7 @@
 	in := c.cellFor(g)
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	c.activate(in)
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -109,6 +112,7 @@
 func (c *Coordinator) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	var seen uint64
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -116,17 +120,48 @@
 		case <-ticker.C:
 		}
 		now := c.clock()
-		sweep := n%sweepEvery == 0
-		c.each(func(g group.Group, in *cell) {
-			if sweep || in.arbiter.IsBusy() {
-				c.visit(now, g, in)
-			}
-		})
+		c.visitActive(now)
+		if n%sweepEvery != 0 {
+			continue
+		}
+		fingerprint := c.members.Fingerprint(now)
+		c.sweep(now, n/sweepEvery%sweepParts, fingerprint != seen)
+		seen = fingerprint
+	}
+}
+
+// visitActive visits the cells in which something waits.
+func (c *Coordinator) visitActive(now time.Time) {
+	c.activeMu.Lock()
+	cells := c.active
+	c.active = nil
+	c.activeMu.Unlock()
+	for _, in := range cells {
+		in.mu.Lock()
+		c.visit(now, in)
+		busy := in.arbiter.IsBusy()
+		in.active.Store(false)
+		if busy {
+			c.activate(in)
+		}
+		in.mu.Unlock()
 	}
 }
 
+// sweep visits one part of the cells, or all of them when owners may have changed.
+func (c *Coordinator) sweep(now time.Time, part int, all bool) {
+	i := 0
+	c.each(func(_ group.Group, in *cell) {
+		if all || i%sweepParts == part {
+			c.visit(now, in)
+		}
+		i++
+	})
+}
+
 // visit does what the passing of time calls for in a locked cell.
-func (c *Coordinator) visit(now time.Time, g group.Group, in *cell) {
+func (c *Coordinator) visit(now time.Time, in *cell) {
+	g := in.arbiter.Group()
 	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
 		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
 	}
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -25,7 +25,7 @@
 	sentAt := d.clock()
 	if !b.ValidAt(sentAt) {
 		d.counter("binding_expired")
-		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrNotSent})
+		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrHeldBack})
 		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
 	}
 	if !b.Cold || j.Until.Sub(sentAt) <= d.coldDeadline {
@@ -81,10 +81,11 @@
 
 // failed ends the binding of a broken attempt and tells how far the attempt came.
 func (d *Dispatcher) failed(ctx context.Context, b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
-	seen.Cancelled = ctx.Err() != nil
+	heldBack := errors.Is(err, exchanger.ErrHeldBack)
+	seen.Cancelled = heldBack || ctx.Err() != nil
 	seen = seen.WithResult(d.clock().Sub(sentAt), err)
 	d.binder.Finish(b, seen)
-	if errors.Is(err, exchanger.ErrNotSent) {
+	if heldBack || errors.Is(err, exchanger.ErrNotSent) {
 		d.counter("attempt_not_sent")
 		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
 	}
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -80,12 +80,12 @@
 }
 
 // New returns an Entry by settings that have passed their check.
-func New(s settings.Settings, l Listeners, logger *zap.Logger) (*Entry, error) {
+func New(s settings.Settings, l Listeners, logger *zap.Logger, clock func() time.Time) (*Entry, error) {
 	e := &Entry{
 		settings:  s,
 		logger:    logger,
-		clock:     time.Now,
-		startedAt: time.Now(),
+		clock:     clock,
+		startedAt: clock(),
 		meter:     meter.New("poplarhook"),
 		listeners: l,
 		places:    locator.New(s.Region),
