Demand for the requests that lack a demand of their own

When a right expired unanswered, the next one was asked for the earliest waiting request, which had one already and ended with it a moment later, so that one more was lacking again.

Change: a request that counted on another's right is remembered, and the next right is asked for it.

--- a/lib/borrower/asking.go
+++ b/lib/borrower/asking.go
@@ -30,6 +30,14 @@
 func (b *Borrower) count(id uint64) {
 	if key, ok := b.waiting.Get(id); ok {
 		b.wanted[key]++
+		b.unask(id)
+	}
+}
+
+// unask notes that a wanted request has no demand of its own.
+func (b *Borrower) unask(id uint64) {
+	if key, ok := b.waiting.Get(id); ok && !b.patient.Has(id) {
+		b.unasked.Push(id, key, key.urgency, b.waiting.Until(id))
 	}
 }
 
@@ -37,34 +45,37 @@
 	if _, ok := b.patient.Remove(id); ok {
 		return
 	}
+	b.unasked.Remove(id)
 	b.wanted[key]--
 	if b.wanted[key] == 0 {
 		delete(b.wanted, key)
 	}
 }
 
-// demandFor asks for one more right if the given request waits without one.
-func (b *Borrower) demandFor(now time.Time, a *action.Action, id uint64) {
-	key, waits := b.waiting.Get(id)
-	if !waits || b.patient.Has(id) || b.missing(key) <= 0 {
-		return
-	}
-	a.Demands = append(a.Demands, b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id)))
-}
-
-// demandMissing asks for the rights that waiting requests lack, such as after an unanswered demand has expired.
+// demandMissing asks for the rights that waiting requests lack.
+//
+// Those without a demand of their own come first: they counted on one that has been answered or has expired since.
 func (b *Borrower) demandMissing(now time.Time, a *action.Action) {
 	if !b.isMissing() {
 		return
 	}
 	var pending []demand.Demand
-	b.waiting.Best(func(id uint64, key bucket, _ int) bool {
+	var asked []uint64
+	ask := func(id uint64, key bucket, _ int) bool {
 		if !b.patient.Has(id) && b.missing(key) > 0 {
-			asked := b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id))
-			pending = b.asked.join(pending, asked, mergeWithin)
+			d := b.asked.ask(now, key, b.exclusion(key), b.waiting.Until(id))
+			pending = b.asked.join(pending, d, mergeWithin)
+			asked = append(asked, id)
 		}
 		return !b.isMissing()
-	})
+	}
+	b.unasked.Best(ask)
+	if b.isMissing() {
+		b.waiting.Best(ask)
+	}
+	for _, id := range asked {
+		b.unasked.Remove(id)
+	}
 	a.Demands = append(a.Demands, pending...)
 }
 
--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -23,8 +23,9 @@
 	waiting *waitlist.Waitlist[uint64, bucket]
 	// patient holds the waiting requests for which the owner is not to be asked yet.
 	patient *waitlist.Waitlist[uint64, struct{}]
-	// wanted counts the other waiting requests.
+	// wanted counts the other waiting requests; unasked holds those without a demand of their own.
 	wanted   map[bucket]int
+	unasked  *waitlist.Waitlist[uint64, bucket]
 	asked    ledger
 	accounts map[string]*account
 	// ordered holds the accounts by endpoint, so that one trace has one outcome.
@@ -46,6 +47,7 @@
 		waiting:     waitlist.New[uint64, bucket](),
 		patient:     waitlist.New[uint64, struct{}](),
 		wanted:      make(map[bucket]int),
+		unasked:     waitlist.New[uint64, bucket](),
 		asked:       newLedger(name),
 		accounts:    make(map[string]*account),
 	}
@@ -66,9 +68,7 @@
 	key := bucket{urgency: min(max(urgency, 0), urgencies-1), excluded: excluded}
 	b.waiting.Push(id, key, key.urgency, until)
 	b.patient.Push(id, struct{}{}, 0, now.Add(b.patience(until.Sub(now))))
-	b.serve(now, &a)
-	b.want(now)
-	b.demandFor(now, &a, id)
+	b.settle(now, &a)
 	return a
 }
 
@@ -161,6 +161,9 @@
 	for _, n := range b.ordered {
 		n.carry()
 	}
+	for _, id := range b.waiting.All() {
+		b.unask(id)
+	}
 	b.settle(now, &a)
 	return a
 }
