Refuse requests that declare their length in two ways

Cause: net/http drops the Content-Length of a chunked request and serves it; a balancer before the entry host may have read the request otherwise. TestBadInputIsRefusedAndNotSentOn got 200 for it. Ruled out: refusing every chunked request (411), which callers would not expect. Change: a listener that notices both headers in one head; the request is answered 400 and its connection closed.

--- /dev/null
+++ b/poplarhook/modules/screener/doc.go
@@ -0,0 +1,2 @@
+// Package screener notices requests that declare their length in two ways.
+package screener
--- a/poplarhook/modules/server/server.go
+++ b/poplarhook/modules/server/server.go
@@ -36,6 +36,11 @@
 	return func(s *Server) { s.http.MaxHeaderBytes = bytes }
 }
 
+// WithConnContext sets what each connection adds to the context of its requests.
+func WithConnContext(add func(ctx context.Context, c net.Conn) context.Context) Option {
+	return func(s *Server) { s.http.ConnContext = add }
+}
+
 // WithDrainLimit bounds the time a stop waits for running requests.
 func WithDrainLimit(limit time.Duration) Option {
 	return func(s *Server) { s.limit = limit }
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -38,7 +38,9 @@
 	dispatcher dispatcher
 	maxBody    int64
 	places     chan struct{}
-	counter    func(outcome, class string, took time.Duration)
+	// isAmbiguous says that the request's length was declared in two ways.
+	isAmbiguous func(ctx context.Context) bool
+	counter     func(outcome, class string, took time.Duration)
 }
 
 // Option changes how a Caller is built.
@@ -59,6 +61,11 @@
 	return func(c *Caller) { c.counter = count }
 }
 
+// WithScreen sets what tells that a request declared its length in two ways.
+func WithScreen(isAmbiguous func(ctx context.Context) bool) Option {
+	return func(c *Caller) { c.isAmbiguous = isAmbiguous }
+}
+
 // WithMaxRequests sets how many requests may be under way at once.
 func WithMaxRequests(n int) Option {
 	return func(c *Caller) { c.places = make(chan struct{}, n) }
@@ -77,6 +84,8 @@
 		maxBody:    defaultMaxBody,
 		places:     make(chan struct{}, defaultMaxRequests),
 		counter:    func(string, string, time.Duration) {},
+
+		isAmbiguous: func(context.Context) bool { return false },
 	}
 	c.classifier = func() classifier {
 		if found, ok := classify(); ok {
@@ -117,6 +126,11 @@
 // read returns the classified request with its whole body.
 func (c *Caller) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (job.Job, error) {
 	j := job.Job{ID: r.Header.Get(HeaderRequestID), Arrived: arrived}
+	if c.isAmbiguous(r.Context()) {
+		// Whoever sends on this connection may read its requests otherwise than this host.
+		w.Header().Set("Connection", "close")
+		return j, refusal.NotRun(http.StatusBadRequest, "Content-Length and Transfer-Encoding must not stand together")
+	}
 	if err := c.check(r); err != nil {
 		return j, err
 	}
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -24,6 +24,7 @@
 	"poplarhook.example/poplarhook/modules/certifier"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
+	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/routers/caller"
 	"poplarhook.example/poplarhook/services/allowance"
@@ -172,7 +173,8 @@
 	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
-		caller.WithMaxBody(s.MaxBody), caller.WithMaxRequests(s.MaxRequests), caller.WithCounter(e.meter.CountRequest))
+		caller.WithMaxBody(s.MaxBody), caller.WithMaxRequests(s.MaxRequests),
+		caller.WithScreen(screener.IsAmbiguous), caller.WithCounter(e.meter.CountRequest))
 }
 
 func (e *Entry) newDispatcher() *dispatcher.Dispatcher {
--- a/poplarhook/services/entry/run.go
+++ b/poplarhook/services/entry/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/server"
 )
 
@@ -43,8 +44,9 @@
 		server.WithMaxHeader(s.MaxHeader),
 		server.WithReadTimeout(s.ReadTimeout),
 		server.WithIdleTimeout(s.IdleTimeout),
+		server.WithConnContext(screener.ConnContext),
 		server.WithDrainLimit(s.DrainLimit))
-	answered := callerServer.Run(callers, e.listeners.Callers)
+	answered := callerServer.Run(callers, screener.New(e.listeners.Callers))
 	go func() {
 		<-ctx.Done()
 		e.drain(callerServer)
