--- a/tests/bencher/control.go
+++ b/tests/bencher/control.go
@@ -13,8 +13,11 @@
 	"poplarhook.example/tests/fleet"
 )
 
-// aloneMetric counts requests that an entry host bound without the owner.
-const aloneMetric = "poplarhook_bound_alone"
+const (
+	metricPrefix = "poplarhook_"
+	// aloneMetric counts requests that an entry host bound without the owner.
+	aloneMetric = metricPrefix + "bound_alone"
+)
 
 // state is the part of an entry host's state dump that tells what its peers cost.
 type state struct {
--- a/tests/bencher/noisy.go
+++ b/tests/bencher/noisy.go
@@ -90,9 +90,26 @@
 		return result.Result{}, err
 	}
 	measured, err := b.offer(ctx, running, load, policy)
+	if err == nil {
+		err = b.sayCounters(ctx, running)
+	}
 	return measured, stop(running, err)
 }
 
+// sayCounters tells what explains a tail, counted since the start of the entry hosts.
+func (b *Bencher) sayCounters(ctx context.Context, running *fleet.Fleet) error {
+	for _, name := range []string{"hedge_sent", "hedge_denied", "bound_alone", "retry_sent"} {
+		count, err := counted(ctx, running, metricPrefix+name)
+		if err != nil {
+			return err
+		}
+		if count > 0 {
+			b.say("  %s %d", name, count)
+		}
+	}
+	return nil
+}
+
 func (b *Bencher) noisyTable(policies []string, all []result.Result) error {
 	table := aligner.New()
 	table.Addf("policy\tp50_ms\tp99_ms\tp99_9_ms\tserved_%%\tnot_run\tunknown+broken\textra_%%\tcontrol B/s per host\tlate_sends\t")
