Leave idle callers' connections open until the balancer has noticed a stop

Cause: a host that stopped closed idle connections at once, while a caller may just be sending on one; its request is then cut off with no answer. Change: during drain-notice answers ask to close the connection, idle ones are closed after it.

--- a/poplarhook/modules/server/server.go
+++ b/poplarhook/modules/server/server.go
@@ -69,11 +69,6 @@
 	return done
 }
 
-// Announce makes every further answer ask its client to close the connection.
-func (s *Server) Announce() {
-	s.http.SetKeepAlivesEnabled(false)
-}
-
 func (s *Server) wait(ctx context.Context, served <-chan error) error {
 	select {
 	case err := <-served:
--- a/poplarhook/routers/caller/write.go
+++ b/poplarhook/routers/caller/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,10 +59,9 @@
 func (c *Caller) write(w http.ResponseWriter, r *http.Request, j job.Job, a *answer.Answer) {
 	header := w.Header()
 	for name, values := range a.Header {
-		header[name] = values
-	}
-	for _, name := range answerHeaders {
-		header.Del(name)
+		if !slices.Contains(answerHeaders, name) {
+			header[name] = values
+		}
 	}
 	header.Set(HeaderRequestID, j.ID)
 	if a.Length >= 0 && bodyAllowed(a.Status) {
--- a/poplarhook/services/entry/run.go
+++ b/poplarhook/services/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,7 +41,7 @@
 	}
 	callers, stopCallers := context.WithCancel(background)
 	s := e.settings
-	callerServer := server.New(e.callers,
+	callerServer := server.New(e.closing(e.callers),
 		server.WithMaxHeader(s.MaxHeader),
 		server.WithReadTimeout(s.ReadTimeout),
 		server.WithIdleTimeout(s.IdleTimeout),
@@ -49,7 +50,7 @@
 	answered := callerServer.Run(callers, screener.New(e.listeners.Callers))
 	go func() {
 		<-ctx.Done()
-		e.drain(callerServer)
+		e.drain()
 		stopCallers()
 		err := <-answered
 		stop()
@@ -65,10 +66,22 @@
 }
 
 // drain looks unready, gives ownership up and waits until the platform's balancer has noticed.
-func (e *Entry) drain(callers *server.Server) {
+//
+// Idle connections stay open until then, since a request may be on its way on
+// each; answers ask their callers to close.
+func (e *Entry) drain() {
 	e.draining.Store(true)
 	e.logger.Info("stopping: no longer ready")
 	e.heartbeats.Leave()
-	callers.Announce()
 	time.Sleep(e.settings.DrainNotice)
 }
+
+// closing asks callers to close their connections while the host stops.
+func (e *Entry) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
