--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -19,6 +19,7 @@
 	hold        time.Duration
 	scarceFor   time.Duration
 	maxPatience time.Duration
+	maxTenure   time.Duration
 
 	waiting *waitlist.Waitlist[uint64, bucket]
 	// patient holds the waiting requests for which the owner is not to be asked yet.
@@ -44,6 +45,7 @@
 		hold:        defaultHold,
 		scarceFor:   defaultScarceFor,
 		maxPatience: defaultMaxPatience,
+		maxTenure:   defaultMaxTenure,
 		waiting:     waitlist.New[uint64, bucket](),
 		patient:     waitlist.New[uint64, struct{}](),
 		wanted:      make(map[bucket]int),
@@ -125,7 +127,7 @@
 
 // SetHold sets how long an idle credit is kept; zero asks the owner anew for each request.
 //
-// While others wait no credit is used for longer than that. A host with requests in flight waits for a tenth of it
+// While others wait no credit is used for longer than that or the maximal tenure. A host with requests in flight waits for a tenth of it
 // for one of their credits before it asks for another, at most for the maximal patience.
 func (b *Borrower) SetHold(d time.Duration) {
 	b.hold = d
--- a/lib/borrower/flow.go
+++ b/lib/borrower/flow.go
@@ -114,12 +114,12 @@
 	b.idle++
 }
 
-// mayReuse says that no credit is kept for longer than the hold while others wait for it.
+// mayReuse says that no credit is kept for longer than the hold and the tenure while others wait for it.
 func (b *Borrower) mayReuse(now, grantedAt time.Time) bool {
 	if b.hold <= 0 {
 		return false
 	}
-	return !b.isScarce(now) || now.Sub(grantedAt) < b.hold
+	return !b.isScarce(now) || now.Sub(grantedAt) < min(b.hold, b.maxTenure)
 }
 
 // releaseStale gives the idle credits back that have been kept for the hold, or all where they are scarce.
