Name the endpoints whose credits were refused

Cause: a host that knows an endpoint closed before the owner does sends its credit back; the owner sees the endpoint least lent and grants it again. A demand excludes only one endpoint, so with two closed ones the same right would go back and forth until the owner hears of it.

Change: an action lists the refused endpoints, for the service to tell the owner at once.

--- a/lib/action/action.go
+++ b/lib/action/action.go
@@ -13,9 +13,13 @@
 	Releases []release.Release
 	// Expired lists the requests whose deadline came before they were bound.
 	Expired []uint64
+	// Refused lists the endpoints whose credits went back because this host knows them closed or cold.
+	// The owner has to be told so, or it grants them again.
+	Refused []string
 }
 
 // IsEmpty reports whether there is nothing to do.
 func (a Action) IsEmpty() bool {
-	return len(a.Bound) == 0 && len(a.Demands) == 0 && len(a.Releases) == 0 && len(a.Expired) == 0
+	return len(a.Bound) == 0 && len(a.Demands) == 0 && len(a.Releases) == 0 && len(a.Expired) == 0 &&
+		len(a.Refused) == 0
 }
--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -127,8 +127,8 @@
 
 // SetHold sets how long an idle credit is kept; zero asks the owner anew for each request.
 //
-// While others wait no credit is used for longer than that or the maximal tenure. A host with requests in flight waits for a tenth of it
-// for one of their credits before it asks for another, at most for the maximal patience.
+// While others wait no credit is used for longer than that or the maximal tenure. A host with requests in flight
+// waits for a tenth of it for one of their credits before it asks for another, at most for the maximal patience.
 func (b *Borrower) SetHold(d time.Duration) {
 	b.hold = d
 }
--- a/lib/borrower/flow.go
+++ b/lib/borrower/flow.go
@@ -62,6 +62,7 @@
 	switch {
 	case !b.isUsable(c.Endpoint, c.Cold):
 		b.refused = c.Endpoint
+		a.Refused = append(a.Refused, c.Endpoint)
 		b.giveBack(a, n, 1)
 	case c.IsExpired(now):
 		b.giveBack(a, n, 1)
--- a/lib/borrower/property_test.go
+++ b/lib/borrower/property_test.go
@@ -75,12 +75,9 @@
 			"repeat": func(*rapid.T) { w.drawRepeat() },
 			"turn":   func(*rapid.T) { w.drawTurn() },
 			"cancel": func(*rapid.T) { w.cancel(w.drawNode(), rapid.Uint64Range(0, w.ids).Draw(w.t, "id")) },
-			"kill": func(*rapid.T) {
-				n := w.drawNode()
-				w.kill(n)
-			},
-			"owner": func(*rapid.T) { w.replaceOwner() },
-			"cut":   func(*rapid.T) { w.cut(w.drawNode()) },
+			"kill":   func(*rapid.T) { w.kill(w.drawNode()) },
+			"owner":  func(*rapid.T) { w.replaceOwner() },
+			"cut":    func(*rapid.T) { w.cut(w.drawNode()) },
 			"hold": func(*rapid.T) {
 				hold := rapid.IntRange(0, 100).Draw(w.t, "hold")
 				w.drawNode().borrower.SetHold(time.Duration(hold) * time.Millisecond)
--- a/lib/borrower/replay_test.go
+++ b/lib/borrower/replay_test.go
@@ -38,6 +38,7 @@
 	Demands  []demanded `json:"demands"`
 	Releases []released `json:"releases"`
 	Expired  []uint64   `json:"expired"`
+	Refused  []string   `json:"refused"`
 }
 
 // settings is the first line of a trace.
@@ -108,7 +109,7 @@
 
 // outcome returns what a trace states of an action, in the form of an event.
 func outcome(a action.Action) event {
-	e := event{Expired: a.Expired}
+	e := event{Expired: a.Expired, Refused: a.Refused}
 	for _, b := range a.Bound {
 		e.Bound = append(e.Bound, bound{ID: b.ID, Endpoint: b.Endpoint, Cold: b.Cold})
 	}
@@ -155,7 +156,7 @@
 		var e event
 		c.Assert(json.Unmarshal(lines.Bytes(), &e), qt.IsNil, qt.Commentf("line %d", n))
 		got := outcome(e.apply(b))
-		want := event{Bound: e.Bound, Demands: e.Demands, Releases: e.Releases, Expired: e.Expired}
+		want := event{Bound: e.Bound, Demands: e.Demands, Releases: e.Releases, Expired: e.Expired, Refused: e.Refused}
 		c.Assert(got, qt.DeepEquals, want, qt.Commentf("line %d: %s", n, lines.Text()))
 		if e.InFlight != nil {
 			c.Assert(append([]holding.Holding{}, b.InFlight()...), qt.DeepEquals, e.InFlight, qt.Commentf("line %d", n))
