Drop an unused count from the waitlist

Cause: nothing but a test asked for the count of one urgency.

Change: the method goes, the test counts all. The admitter's comment on Tick says more plainly when it looks.

--- a/lib/admitter/admitter.go
+++ b/lib/admitter/admitter.go
@@ -100,7 +100,9 @@
 	a.meter.serve(took)
 }
 
-// Tick returns the requests to refuse by now, once it measures at most each millisecond; it is to be called before requests are started.
+// Tick returns the requests to refuse by now; it is to be called before requests are started.
+//
+// Once the service rate is known it looks at most once each millisecond.
 func (a *Admitter) Tick(now time.Time) []uint64 {
 	a.meter.pass(now, len(a.queue) > 0)
 	if a.meter.interval() > 0 && now.Sub(a.walkedAt) < walkEvery {
--- a/lib/waitlist/waitlist.go
+++ b/lib/waitlist/waitlist.go
@@ -25,11 +25,6 @@
 	return len(w.items)
 }
 
-// LenAt returns how many values of one urgency wait.
-func (w *Waitlist[K, V]) LenAt(urgency int) int {
-	return len(w.queues[level(urgency)])
-}
-
 // Has reports whether the key waits.
 func (w *Waitlist[K, V]) Has(key K) bool {
 	_, ok := w.items[key]
--- a/lib/waitlist/waitlist_test.go
+++ b/lib/waitlist/waitlist_test.go
@@ -19,7 +19,7 @@
 	w.Push("early too", 0, 1, start.Add(2*time.Second))
 	w.Push("high", 0, 9, start.Add(9*time.Second))
 	c.Assert(w.All(), qt.DeepEquals, []string{"high", "early", "early too", "late", "low"})
-	c.Assert(w.LenAt(1), qt.Equals, 3)
+	c.Assert(w.Len(), qt.Equals, 5)
 
 	key, _, ok := w.Best(func(key string, _ int, _ int) bool { return key == "late" })
 	c.Assert(ok, qt.IsTrue)
