Use no credit of an owner that cannot be heard, count a lost peer's cold work in full

Cause: a host cut off from an owner went on reusing its credits, past the time after which the owner counts them as over; the owner freed a lost peer's cold credit after the cold deadline alone, though it may be sent up to a second after its grant. Change: a broken link resets what its owner lent; a lost peer's work counts for the credit's life and the deadline. Doubts hold 50 ms at a borrower, as the owner keeps them; active groups are visited every 2 ms.

--- a/poplarhook/models/observer/observer.go
+++ b/poplarhook/models/observer/observer.go
@@ -6,7 +6,7 @@
 	// warmFor is how long an answer proves that its endpoint is warm.
 	warmFor = 10 * time.Second
 	// doubtFor is how long a doubt holds here; the group's owner keeps it until it is settled.
-	doubtFor = 200 * time.Millisecond
+	doubtFor = 50 * time.Millisecond
 	// leavingFor is how long the sight of a leaving endpoint holds without being repeated.
 	leavingFor = 10 * time.Second
 )
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -24,7 +24,7 @@
 	return a.restart(now, proved)
 }
 
-// Relink starts anew with the same owner after the link to it broke.
+// Relink starts anew with the same owner when the link to it breaks and when it is made again.
 func (a *Arbiter) Relink(now time.Time, proved func(endpoint string) bool) effect.Effect {
 	if a.owned != nil {
 		return effect.Effect{}
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	tickEvery = 5 * time.Millisecond
+	tickEvery = 2 * time.Millisecond
 	// sweepEvery is how many ticks pass between two parts of the visits to idle groups.
-	sweepEvery = 20
+	sweepEvery = 50
 	// sweepParts is in how many parts the idle groups are visited.
 	sweepParts = 10
 )
@@ -66,10 +66,17 @@
 	})
 }
 
-// PeerDown notes a broken link to an entry host, whose credits stay out until its requests must be over.
+// PeerDown notes a broken link to an entry host.
+//
+// What it holds of groups owned here stays out until its requests must be over;
+// credits that it lent as an owner are used no more.
 func (c *Coordinator) PeerDown(now time.Time, peer string) {
 	until := now.Add(c.orphanFor)
-	c.each(func(_ group.Group, in *cell) {
+	c.each(func(g group.Group, in *cell) {
+		if in.arbiter.Owner() == peer {
+			c.perform(now, in, in.arbiter.Relink(now, c.provedIn(g)))
+			return
+		}
 		c.perform(now, in, in.arbiter.PeerGone(now, peer, until))
 	})
 }
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -167,7 +167,7 @@
 		sender.WithLostHook(e.lost))
 	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.places, e.assigner, e.sender,
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
-		coordinator.WithOrphanFor(s.ColdDeadline),
+		coordinator.WithOrphanFor(lender.ColdValidity+s.ColdDeadline),
 		coordinator.WithColdRight(e.coldRight),
 		coordinator.WithCounter(e.meter.Count))
 	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
