Check the lease, the configuration and once-only sending with Spin

Cause: the core protocols were argued on pages only; nothing searched their interleavings with pauses, lost replies, late writes and restarts. Change: spec/lease.pml, spec/configuration.pml and spec/once.pml, and spec/run.sh, which checks eleven sizes exhaustively and sees that 18 faults are caught; it fails on a truncated search, an uncaught fault or a fault in a model that no check names. Before: `make spec` ran an empty script.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -2,3 +2,116 @@
 # Checks every specification and sees that every seeded fault is caught.
 set -euo pipefail
 cd "$(dirname "$0")"
+JOBS=${JOBS:-3}
+MEMORY_MB=900  # of one search
+DEPTH=100000
+TIMEOUT=300    # seconds of one search
+
+# Each line: model, its sizes, "holds" or the seeded fault that must be caught.
+checks() {
+	cat <<-'LIST'
+		lease -DTTL=2 holds
+		lease -DCRASHES=0 holds
+		lease -DHOSTS=3,-DWRITES=1,-DTTL=2,-DCRASHES=0 holds
+		configuration -DHOSTS=2,-DRELAYS=1,-DRESTARTS=0 holds
+		configuration -DHOSTS=2,-DRELAYS=1,-DRESTARTS=0,-DSAME_TEAM=1 holds
+		configuration -DPUBLISHERS=0,-DCHANGES=3 holds
+		once -DREQUESTS=1,-DSENDS=3 holds
+		once -DREQUESTS=1,-DSENDS=3,-DONCE=0 holds
+		once -DONCE=2,-DENDPOINTS=1 holds
+		once -DONCE=2 holds
+		once -DSENDS=1,-DENDPOINTS=1 holds
+		lease -DTTL=2 SEED_TERM_FROM_REPLY
+		lease -DTTL=2 SEED_NO_DEADLINE_WAIT
+		lease -DTTL=2 SEED_NO_CHECK_BEFORE_SENDING
+		lease -DTTL=2 SEED_PAUSE_AFTER_LAST_CHECK
+		lease -DTTL=2 SEED_RELEASE_WITH_CREDITS_OUT
+		lease -DTTL=2 SEED_REGAINED_UNDER_ONE_LEASE
+		lease -DTTL=2 SEED_KNOWN_BY_NAME
+		lease -DTTL=2,-DCRASHES=0 SEED_UNCONDITIONAL
+		configuration -DHOSTS=2,-DRELAYS=1,-DRESTARTS=0 SEED_UNCONDITIONAL
+		configuration -DHOSTS=2,-DRELAYS=1,-DRESTARTS=0 SEED_NO_READ_BACK
+		configuration -DPUBLISHERS=0,-DCHANGES=3 SEED_BELIEVE_OLDER_INDEX
+		configuration -DPUBLISHERS=0,-DCHANGES=3 SEED_ADOPT_BEFORE_PEERS_ARE_HEARD
+		configuration -DPUBLISHERS=0,-DCHANGES=3 FOUND_PEER_MAY_SEND_LESS_THAN_HEARD
+		once -DREQUESTS=1 SEED_HEDGE_ONCE_ONLY
+		once -DREQUESTS=1 SEED_RETRY_AFTER_PARTIAL_WRITE
+		once -DREQUESTS=1 SEED_LATE_IS_NOT_RUN
+		once -DSENDS=1,-DENDPOINTS=1 SEED_TRANSPORT_RESENDS
+		once -DSENDS=1,-DENDPOINTS=1 SEED_REUSE_AFTER_ABANDONED
+	LIST
+}
+
+require() {
+	command -v "$1" >/dev/null && return
+	if ! command -v apt-get >/dev/null || [ "$(id -u)" -ne 0 ]; then
+		echo "spec: $1 is missing, and only root on a system with apt-get can have it installed here: install the package $1" >&2
+		exit 1
+	fi
+	echo "spec: installing $1" >&2
+	if ! { apt-get update && apt-get install -y "$1"; } >&2; then
+		echo "spec: $1 is missing and apt-get could not install it" >&2
+		exit 1
+	fi
+}
+
+# check prints one row of the table and fails unless the verdict is the wanted one.
+check() {
+	local model=$1 sizes=${2//,/ } want=$3 work options row verdict caught started
+	work=$(mktemp -d "$WORK/XXXXXX")
+	options=$sizes
+	[ "$want" = holds ] || options="$sizes -D$want"
+	(
+		cd "$work"
+		# Names and sizes hold no spaces.
+		# shellcheck disable=SC2086
+		spin -a $options "$SPEC/$model.pml" && gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM="$MEMORY_MB" -o pan pan.c
+	) >"$work/build.log" 2>&1 || { echo "FAILED to build $model $options"; cat "$work/build.log"; return 1; }
+	started=$(date +%s.%N)
+	(cd "$work" && timeout "$TIMEOUT" ./pan -m"$DEPTH" -w23) >"$work/pan.log" 2>&1 || true
+	verdict=wrong
+	caught=$(sed -n 's/^pan:1: \(assertion violated .*\) (at depth.*/\1/p' "$work/pan.log")
+	if grep -qE 'max search depth too small|out of memory|reached -DMEMLIM|bit ?state' "$work/pan.log" || ! grep -q 'errors: ' "$work/pan.log"; then
+		verdict=truncated
+	elif [ "$want" = holds ]; then
+		grep -q 'errors: 0$' "$work/pan.log" && ! grep -q 'Search not completed' "$work/pan.log" && verdict=holds
+	elif [ -n "$caught" ]; then
+		verdict=caught
+	fi
+	row=$(printf '%-14s %-48s %-36s %-9s %9s states, depth %4s, %5.1f s' "$model" "$sizes" "$want" "$verdict" \
+		"$(sed -n 's/^ *\([0-9]*\) states, stored.*/\1/p' "$work/pan.log")" \
+		"$(sed -n 's/.*depth reached \([0-9]*\),.*/\1/p' "$work/pan.log")" \
+		"$(echo "$(date +%s.%N) $started" | awk '{print $1 - $2}')")
+	echo "$row${caught:+  $caught}"
+	case $verdict in
+	holds | caught) return 0 ;;
+	esac
+	echo "spec: $model $options: wanted ${want/#[SF]*/a caught fault}, the checker says:" >&2
+	tail -20 "$work/pan.log" >&2
+	return 1
+}
+
+require spin
+require gcc
+SPEC=$(pwd)
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+export SPEC WORK MEMORY_MB DEPTH TIMEOUT
+export -f check
+
+# Every seed in a model is checked.
+for model in lease configuration once; do
+	for seed in $(grep -oE '(SEED|FOUND)_[A-Z_]+' "$model.pml" | sort -u); do
+		checks | grep -q "^$model .* $seed\$" || { echo "spec: $seed of $model.pml is not checked" >&2; exit 1; }
+	done
+done
+
+status=0
+checks | xargs -P "$JOBS" -L 1 bash -c 'check "$@"' check >"$WORK/rows" 2>"$WORK/errors" || status=1
+sort "$WORK/rows"
+cat "$WORK/errors" >&2
+if [ "$(grep -cE ' (holds|caught) +[0-9]+ states' "$WORK/rows")" -ne "$(checks | wc -l)" ]; then
+	status=1
+fi
+[ "$status" -eq 0 ] && echo "spec: all $(checks | wc -l) checks as wanted"
+exit "$status"
