--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -47,7 +47,7 @@
 // New returns a Lender that knows no endpoints and may not lend cold ones.
 func New(options ...Option) *Lender {
 	l := &Lender{
-		coldValidity:   defaultColdValidity,
+		coldValidity:   ColdValidity,
 		trickle:        defaultTrickle,
 		recallInterval: defaultRecallInterval,
 		endpoints:      make(map[string]*endpoint),
@@ -63,10 +63,10 @@
 // SetCapacities replaces what the endpoints may bear; one that is missing is closed.
 func (l *Lender) SetCapacities(now time.Time, capacities []capacity.Capacity) []credit.Credit {
 	for _, e := range l.ordered {
-		e.setCapacity(capacity.Capacity{Endpoint: e.id})
+		e.unlist()
 	}
 	for _, c := range capacities {
-		l.endpoint(c.Endpoint).setCapacity(c)
+		l.endpoint(c.Endpoint).setCapacity(now, c)
 	}
 	l.sweep(now)
 	return l.grant(now)
@@ -102,7 +102,9 @@
 // Release takes back credits that a borrower has finished with or does not use.
 func (l *Lender) Release(now time.Time, borrower, endpoint string, count int) []credit.Credit {
 	if e, ok := l.endpoints[endpoint]; ok {
-		l.account(borrower).held -= e.release(borrower, count)
+		a := l.account(borrower)
+		a.held -= e.release(borrower, count)
+		a.recalls = 0
 	}
 	return l.grant(now)
 }
@@ -159,8 +161,9 @@
 	for id, a := range l.accounts {
 		switch {
 		case a.held == 0 || !l.isScarceFor(a):
-		case now.Sub(a.toldAt) < l.recallInterval:
+		case a.hasHeard(now, l.recallInterval):
 			needed--
+		case a.hasHeard(now, a.patience(l.recallInterval)):
 		default:
 			holders = append(holders, holder{id: id, account: a})
 		}
@@ -168,7 +171,7 @@
 	slices.SortFunc(holders, holder.compare)
 	var borrowers []string
 	for _, h := range holders[:max(min(needed, len(holders)), 0)] {
-		h.account.toldAt = now
+		h.account.recall(now)
 		borrowers = append(borrowers, h.id)
 	}
 	return borrowers
@@ -182,8 +185,8 @@
 		}
 		for id, n := range e.loans {
 			a := l.account(id)
-			if n.held > 0 && now.Sub(a.toldAt) >= excessInterval {
-				a.toldAt = now
+			if n.held > 0 && !a.hasHeard(now, excessInterval) {
+				a.recall(now)
 				borrowers = append(borrowers, id)
 			}
 		}
@@ -191,6 +194,15 @@
 	return borrowers
 }
 
+// Lent returns how many credits are out.
+func (l *Lender) Lent() int {
+	lent := 0
+	for _, e := range l.ordered {
+		lent += e.total
+	}
+	return lent
+}
+
 // Waiting returns how many demanded rights wait.
 func (l *Lender) Waiting() int {
 	return l.waiting.Len()
--- a/lib/warmer/warmer.go
+++ b/lib/warmer/warmer.go
@@ -65,6 +65,8 @@
 
 	limit   int
 	climbed int
+	// ceiling is the limit that the slots allow, zero while they are unknown.
+	ceiling int
 
 	leaving     bool
 	leavingAt   time.Time
@@ -73,9 +75,6 @@
 	failedUntil time.Time
 }
 
-// assumedLimit stands for a limit that has been reached before; the slots bound it.
-const assumedLimit = 1 << 16
-
 // saying is what the last report since a doubt said.
 type saying int
 
@@ -170,19 +169,19 @@
 }
 
 // AssumeWarm notes that another host has proof of the endpoint's warmth, an empty incarnation if it names none.
-func (w *Warmer) AssumeWarm(incarnation string) {
+func (w *Warmer) AssumeWarm(incarnation string, slots int) {
 	if incarnation != "" {
 		w.incarnation = incarnation
 	}
 	w.seen = true
 	w.warm = true
-	w.limit = max(w.limit, assumedLimit)
+	w.limit = max(w.limit, slots+1)
 }
 
-// Failure notes a request that failed by the endpoint's fault; several in a row close it for a time.
+// Failure notes a request that failed by the endpoint's fault; it halves the limit, and several in a row close the endpoint for a time.
 func (w *Warmer) Failure(now time.Time) {
 	w.failures++
-	w.limit = coldLimit
+	w.limit = max(w.limit/2, coldLimit)
 	w.climbed = 0
 	if w.failures < w.failureThreshold || now.Before(w.failedUntil) {
 		return
@@ -208,13 +207,15 @@
 
 // Limit returns how many requests the endpoint may have in flight over all entry hosts.
 func (w *Warmer) Limit(now time.Time, slots int) int {
+	w.ceiling = min(slots+1, maxLimit)
 	if !w.Open(now) {
 		return 0
 	}
 	if !w.warm {
 		return coldLimit
 	}
-	return min(w.limit, slots+1)
+	w.limit = min(w.limit, w.ceiling)
+	return w.limit
 }
 
 // Cold reports whether the endpoint gets single requests only.
--- a/poplarhook/cmd/run.go
+++ b/poplarhook/cmd/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := entry.New(s, entry.Listeners{Callers: callers, Peers: peers, Admin: admin}, logger)
+	e, err := entry.New(s, entry.Listeners{Callers: callers, Peers: peers, Admin: admin}, logger, time.Now)
 	if err != nil {
 		return err
 	}
@@ -76,5 +77,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build log")
 	}
-	return logger.With(zap.String("host_id", s.HostID)), nil
+	return logger.With(zap.String("self", s.HostID)), nil
 }
--- a/poplarhook/modules/linker/link.go
+++ b/poplarhook/modules/linker/link.go
@@ -12,11 +12,12 @@
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+
 	"poplarhook.example/lib/wire"
 )
 
 const (
-	handshakeTimeout = time.Second
+	handshakeTimeout = 2 * time.Second
 	streamBacklog    = 4
 )
 
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -37,7 +37,10 @@
 	classifier func() classifier
 	dispatcher dispatcher
 	maxBody    int64
-	counter    func(outcome, class string, took time.Duration)
+	places     chan struct{}
+	// isAmbiguous says that the request's length was declared in two ways.
+	isAmbiguous func(ctx context.Context) bool
+	counter     func(outcome, class string, took time.Duration)
 }
 
 // Option changes how a Caller is built.
@@ -58,7 +61,20 @@
 	return func(c *Caller) { c.counter = count }
 }
 
-const defaultMaxBody = 1 << 20
+// WithScreen sets what tells that a request declared its length in two ways.
+func WithScreen(isAmbiguous func(ctx context.Context) bool) Option {
+	return func(c *Caller) { c.isAmbiguous = isAmbiguous }
+}
+
+// WithMaxRequests sets how many requests may be under way at once.
+func WithMaxRequests(n int) Option {
+	return func(c *Caller) { c.places = make(chan struct{}, n) }
+}
+
+const (
+	defaultMaxBody     = 1 << 20
+	defaultMaxRequests = 4096
+)
 
 // New returns a Caller; classify gives the classifier in force, or nil before there is a configuration.
 func New[C classifier](classify func() (C, bool), d dispatcher, options ...Option) *Caller {
@@ -66,7 +82,10 @@
 		clock:      time.Now,
 		dispatcher: d,
 		maxBody:    defaultMaxBody,
+		places:     make(chan struct{}, defaultMaxRequests),
 		counter:    func(string, string, time.Duration) {},
+
+		isAmbiguous: func(context.Context) bool { return false },
 	}
 	c.classifier = func() classifier {
 		if found, ok := classify(); ok {
@@ -83,6 +102,13 @@
 // ServeHTTP classifies, reads, dispatches and answers one request.
 func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := c.clock()
+	select {
+	case c.places <- struct{}{}:
+		defer func() { <-c.places }()
+	default:
+		c.refuse(w, job.Job{Arrived: arrived}, refusal.NotRun(http.StatusServiceUnavailable, "too many requests are under way on this host").WithRetryAfter(time.Second))
+		return
+	}
 	j, err := c.read(w, r, arrived)
 	if err != nil {
 		c.refuse(w, j, err)
@@ -100,6 +126,11 @@
 // read returns the classified request with its whole body.
 func (c *Caller) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (job.Job, error) {
 	j := job.Job{ID: r.Header.Get(HeaderRequestID), Arrived: arrived}
+	if c.isAmbiguous(r.Context()) {
+		// Whoever sends on this connection may read its requests otherwise than this host.
+		w.Header().Set("Connection", "close")
+		return j, refusal.NotRun(http.StatusBadRequest, "Content-Length and Transfer-Encoding must not stand together")
+	}
 	if err := c.check(r); err != nil {
 		return j, err
 	}
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -85,7 +85,7 @@
 			o.see(now, &wire.Sighting{EndpointId: h.ID, Leaving: true, Incarnation: a.observer.Incarnation(h.ID)})
 		}
 	}
-	o.apply(now)
+	_, _ = o.apply(now)
 	for endpoint, count := range a.inFlight() {
 		o.lender.Hold(now, a.self, endpoint, count)
 	}
@@ -101,9 +101,9 @@
 	return a.deliver(now, a.owned.lender.Tick(now))
 }
 
-// HasCold reports whether this host owns the group and some endpoint of it is cold.
-func (a *Arbiter) HasCold(now time.Time) bool {
-	return a.owned != nil && a.owned.hasCold(now)
+// NeedsCold reports whether this host owns the group, some endpoint of it is cold and work waits or is under way.
+func (a *Arbiter) NeedsCold(now time.Time) bool {
+	return a.owned != nil && a.owned.hasDemand() && a.owned.hasCold(now)
 }
 
 // PeerGone notes that the link to a peer broke; what it had in flight counts until the given time.
@@ -114,9 +114,15 @@
 	return a.deliver(now, a.owned.lender.Forget(now, peer, until))
 }
 
-// lend grants what the endpoints' present states allow.
+// lend grants what the endpoints' present states allow, which this host's borrower learns first.
 func (a *Arbiter) lend(now time.Time) effect.Effect {
-	return a.deliver(now, a.owned.apply(now))
+	credits, changed := a.owned.apply(now)
+	var e effect.Effect
+	if changed {
+		e = a.refresh(now)
+	}
+	e.Add(a.deliver(now, credits))
+	return e
 }
 
 func (a *Arbiter) tickOwner(now time.Time) effect.Effect {
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 	// received holds when each waiting demand of a peer came, so that a cold credit's life counts from its sending.
 	received map[right]received
 	told     map[string]time.Time
+	// heard holds when each endpoint last gave a sign.
+	heard map[string]time.Time
 }
 
 type right struct {
@@ -51,17 +54,18 @@
 		warmers:  make(map[string]*warmer.Warmer),
 		received: make(map[right]received),
 		told:     make(map[string]time.Time),
+		heard:    make(map[string]time.Time),
 	}
 }
 
-// apply gives the lender the endpoints' present states and returns what it grants.
-func (o *ownership) apply(now time.Time) []credit.Credit {
+// apply gives the lender the endpoints' present states and returns what it grants, and whether any state changed.
+func (o *ownership) apply(now time.Time) (credits []credit.Credit, changed bool) {
 	present := o.capacities(now)
 	if slices.Equal(present, o.applied) {
-		return nil
+		return nil, false
 	}
 	o.applied = present
-	return o.lender.SetCapacities(now, present)
+	return o.lender.SetCapacities(now, present), true
 }
 
 func (o *ownership) capacities(now time.Time) []capacity.Capacity {
@@ -81,6 +85,11 @@
 	return false
 }
 
+// hasDemand reports whether work waits for the group or is under way.
+func (o *ownership) hasDemand() bool {
+	return o.lender.Waiting() > 0 || o.lender.Lent() > 0
+}
+
 func (o *ownership) isBusy() bool {
 	return o.lender.Waiting() > 0 || len(o.told) > 0
 }
@@ -139,7 +148,7 @@
 		o.assumeWarm(endpoint, "")
 	}
 	o.lender.Hold(now, borrower, endpoint, int(h.GetCount()))
-	return append(o.apply(now), o.lender.Tick(now)...)
+	return o.lender.Tick(now)
 }
 
 // creditFrame tells a peer of its credit; a cold one's life counts from when its demand was sent.
@@ -169,6 +178,9 @@
 	if !listed {
 		return
 	}
+	if !r.Cancelled {
+		o.heard[endpoint] = now
+	}
 	switch {
 	case r.Cancelled:
 		if r.Latency >= lateAfter {
@@ -191,6 +203,10 @@
 	if !listed {
 		return
 	}
+	if s.GetReset_() {
+		w.ConnectionReset(now)
+		return
+	}
 	if s.GetFailed() {
 		w.ConnectionReset(now)
 		w.Failure(now)
@@ -202,16 +218,51 @@
 	w.Observe(now, endpointreport.Report{Incarnation: s.GetIncarnation(), Cold: s.GetCold(), Leaving: s.GetLeaving()})
 }
 
+// probed takes in what an endpoint's health says, which proves no warmth.
+func (o *ownership) probed(now time.Time, endpoint string, r report.Report) {
+	w, listed := o.warmers[endpoint]
+	if !listed {
+		return
+	}
+	o.heard[endpoint] = now
+	if r.Err != nil {
+		w.ConnectionReset(now)
+		w.Failure(now)
+		return
+	}
+	if r.Loaded {
+		w.Observe(now, endpointreport.Report{Incarnation: r.Incarnation, Cold: r.Cold, Leaving: r.Leaving})
+	}
+}
+
+// unheard returns the endpoints that have given no sign for the given time.
+func (o *ownership) unheard(now time.Time, since time.Duration) []host.Host {
+	var hosts []host.Host
+	for _, h := range o.hosts {
+		if now.Sub(o.heard[h.ID]) >= since {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
 // completed takes in how many requests of a peer a warm endpoint has answered.
 func (o *ownership) completed(now time.Time, endpoint string, count int) {
-	if w, listed := o.warmers[endpoint]; listed && count > 0 && !w.Cold(now) {
+	w, listed := o.warmers[endpoint]
+	if !listed || count == 0 {
+		return
+	}
+	o.heard[endpoint] = now
+	if !w.Cold(now) {
 		w.Success(now, "", now, count)
 	}
 }
 
 func (o *ownership) assumeWarm(endpoint, incarnation string) {
-	if w, listed := o.warmers[endpoint]; listed {
-		w.AssumeWarm(incarnation)
+	for _, h := range o.hosts {
+		if h.ID == endpoint {
+			o.warmers[endpoint].AssumeWarm(incarnation, max(h.Slots, 1))
+		}
 	}
 }
 
@@ -232,4 +283,5 @@
 		listed[h.ID] = w
 	}
 	o.warmers = listed
+	maps.DeleteFunc(o.heard, func(id string, _ time.Time) bool { return listed[id] == nil })
 }
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -9,13 +9,16 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/report"
 	"poplarhook.example/poplarhook/services/arbiter"
 )
 
 const (
 	tickEvery = 5 * time.Millisecond
-	// sweepEvery is how many ticks pass between visits to idle groups.
+	// sweepEvery is how many ticks pass between two parts of the visits to idle groups.
 	sweepEvery = 20
+	// sweepParts is in how many parts the idle groups are visited.
+	sweepParts = 10
 )
 
 // Receive takes in a frame about a group from another entry host; frames about unknown groups are counted.
@@ -28,6 +31,7 @@
 	in := c.cellFor(g)
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	c.activate(in)
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -79,6 +83,22 @@
 	c.perform(now, in, in.arbiter.Lost(now, endpoint.ID))
 }
 
+// Unheard returns the endpoints of owned groups that have given no sign for the given time.
+func (c *Coordinator) Unheard(now time.Time, since time.Duration) []host.Host {
+	var hosts []host.Host
+	c.each(func(_ group.Group, in *cell) { hosts = append(hosts, in.arbiter.Unheard(now, since)...) })
+	return hosts
+}
+
+// Probed takes in what an endpoint's health says.
+func (c *Coordinator) Probed(endpoint host.Host, r report.Report) {
+	now := c.clock()
+	in := c.cellFor(group.Group{Service: endpoint.Service, Region: endpoint.Region})
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.perform(now, in, in.arbiter.Probed(now, endpoint.ID, r))
+}
+
 // Run does what the passing of time calls for until the context ends; the channel gives the end.
 func (c *Coordinator) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
@@ -92,6 +112,7 @@
 func (c *Coordinator) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	var seen uint64
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -99,22 +120,53 @@
 		case <-ticker.C:
 		}
 		now := c.clock()
-		sweep := n%sweepEvery == 0
-		c.each(func(g group.Group, in *cell) {
-			if sweep || in.arbiter.IsBusy() {
-				c.visit(now, g, in)
-			}
-		})
+		c.visitActive(now)
+		if n%sweepEvery != 0 {
+			continue
+		}
+		fingerprint := c.members.Fingerprint(now)
+		c.sweep(now, n/sweepEvery%sweepParts, fingerprint != seen)
+		seen = fingerprint
 	}
 }
 
+// visitActive visits the cells in which something waits.
+func (c *Coordinator) visitActive(now time.Time) {
+	c.activeMu.Lock()
+	cells := c.active
+	c.active = nil
+	c.activeMu.Unlock()
+	for _, in := range cells {
+		in.mu.Lock()
+		c.visit(now, in)
+		busy := in.arbiter.IsBusy()
+		in.active.Store(false)
+		if busy {
+			c.activate(in)
+		}
+		in.mu.Unlock()
+	}
+}
+
+// sweep visits one part of the cells, or all of them when owners may have changed.
+func (c *Coordinator) sweep(now time.Time, part int, all bool) {
+	i := 0
+	c.each(func(_ group.Group, in *cell) {
+		if all || i%sweepParts == part {
+			c.visit(now, in)
+		}
+		i++
+	})
+}
+
 // visit does what the passing of time calls for in a locked cell.
-func (c *Coordinator) visit(now time.Time, g group.Group, in *cell) {
+func (c *Coordinator) visit(now time.Time, in *cell) {
+	g := in.arbiter.Group()
 	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
 		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
 	}
 	if in.arbiter.IsOwner() {
-		until := c.coldRight(now, g, in.arbiter.HasCold(now))
+		until := c.coldRight(now, g, in.arbiter.NeedsCold(now))
 		c.perform(now, in, in.arbiter.AllowCold(now, until))
 	}
 	c.perform(now, in, in.arbiter.Tick(now))
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -25,9 +25,23 @@
 	sentAt := d.clock()
 	if !b.ValidAt(sentAt) {
 		d.counter("binding_expired")
-		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrNotSent})
+		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrHeldBack})
 		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
 	}
+	if !b.Cold || j.Until.Sub(sentAt) <= d.coldDeadline {
+		return d.exchange(ctx, j, b, sentAt)
+	}
+	j = j.WithUntil(sentAt.Add(d.coldDeadline))
+	ctx, cancel := context.WithDeadline(ctx, j.Until)
+	a, err := d.exchange(ctx, j, b, sentAt)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return a.WithRelease(cancel), nil
+}
+
+func (d *Dispatcher) exchange(ctx context.Context, j job.Job, b binding.Binding, sentAt time.Time) (*answer.Answer, error) {
 	response, err := d.sender.Send(ctx, b, j) //nolint:bodyclose // readStart or the answer's release closes it
 	if err != nil {
 		return nil, d.failed(ctx, b, report.Report{}, sentAt, err)
@@ -67,14 +81,20 @@
 
 // failed ends the binding of a broken attempt and tells how far the attempt came.
 func (d *Dispatcher) failed(ctx context.Context, b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
-	seen.Cancelled = ctx.Err() != nil
-	d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), err))
-	if errors.Is(err, exchanger.ErrNotSent) {
+	heldBack := errors.Is(err, exchanger.ErrHeldBack)
+	seen.Cancelled = heldBack || ctx.Err() != nil
+	seen = seen.WithResult(d.clock().Sub(sentAt), err)
+	d.binder.Finish(b, seen)
+	if heldBack || errors.Is(err, exchanger.ErrNotSent) {
 		d.counter("attempt_not_sent")
 		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
 	}
-	d.counter("attempt_broken")
-	d.sender.LeaveSilent(b.Endpoint, sentAt)
+	if seen.Cancelled && seen.Latency < silentAfter {
+		d.counter("attempt_given_up")
+	} else {
+		d.counter("attempt_broken")
+		d.sender.LeaveSilent(b.Endpoint, sentAt)
+	}
 	return errors.Wrapf(refusal.ErrUnknown, "endpoint %s: %v", b.Endpoint.ID, err)
 }
 
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/assembler"
+	"poplarhook.example/lib/lender"
 	"poplarhook.example/lib/lister"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/lib/storer"
@@ -19,9 +20,11 @@
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/roster"
+	"poplarhook.example/poplarhook/models/scheduler"
 	"poplarhook.example/poplarhook/modules/certifier"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
+	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/routers/caller"
 	"poplarhook.example/poplarhook/services/allowance"
@@ -33,9 +36,11 @@
 	"poplarhook.example/poplarhook/services/governor"
 	"poplarhook.example/poplarhook/services/heartbeater"
 	"poplarhook.example/poplarhook/services/locator"
+	"poplarhook.example/poplarhook/services/prober"
 	"poplarhook.example/poplarhook/services/refresher"
 	"poplarhook.example/poplarhook/services/relayer"
 	"poplarhook.example/poplarhook/services/sender"
+	"poplarhook.example/poplarhook/services/warden"
 )
 
 // Entry is one entry host.
@@ -55,6 +60,8 @@
 	links       *linker.Linker
 	heartbeats  *heartbeater.Heartbeater
 	assigner    *assigner.Assigner
+	warden      *warden.Warden
+	prober      *prober.Prober
 	relayer     *relayer.Relayer
 	assembler   *assembler.Assembler
 	certifier   *certifier.Certifier
@@ -74,12 +81,12 @@
 }
 
 // New returns an Entry by settings that have passed their check.
-func New(s settings.Settings, l Listeners, logger *zap.Logger) (*Entry, error) {
+func New(s settings.Settings, l Listeners, logger *zap.Logger, clock func() time.Time) (*Entry, error) {
 	e := &Entry{
 		settings:  s,
 		logger:    logger,
-		clock:     time.Now,
-		startedAt: time.Now(),
+		clock:     clock,
+		startedAt: clock(),
 		meter:     meter.New("poplarhook"),
 		listeners: l,
 		places:    locator.New(s.Region),
@@ -134,8 +141,11 @@
 		PeerAddress:      self.PeerAddress,
 		AdminAddress:     self.AdminAddress,
 	}, options...)
-	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
+	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger),
+		heartbeater.WithScheduler(scheduler.New(self, scheduler.WithInterval(s.HeartbeatInterval))))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
+	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, lender.ColdValidity, s.ColdDeadline, e.clock,
+		func(now time.Time, shard string) bool { return e.assigner.OwnerOfShard(now, shard) == self.ID })
 	e.assembler = assembler.New(e.store)
 	e.relayer = relayer.New(e.store, e.assembler, e.links, e.roster,
 		relayer.OnApply(e.setSnapshot),
@@ -158,15 +168,17 @@
 	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.places, e.assigner, e.sender,
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
 		coordinator.WithOrphanFor(s.ColdDeadline),
-		coordinator.WithColdRight(func(now time.Time, _ group.Group, _ bool) time.Time { return now.Add(time.Second) }),
+		coordinator.WithColdRight(e.coldRight),
 		coordinator.WithCounter(e.meter.Count))
+	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
-		caller.WithMaxBody(s.MaxBody), caller.WithCounter(e.meter.CountRequest))
+		caller.WithMaxBody(s.MaxBody), caller.WithMaxRequests(s.MaxRequests),
+		caller.WithScreen(screener.IsAmbiguous), caller.WithCounter(e.meter.CountRequest))
 }
 
 func (e *Entry) newDispatcher() *dispatcher.Dispatcher {
-	options := []dispatcher.Option{dispatcher.WithCounter(e.meter.Count)}
+	options := []dispatcher.Option{dispatcher.WithCounter(e.meter.Count), dispatcher.WithColdDeadline(e.settings.ColdDeadline)}
 	switch e.settings.Policy {
 	case settings.PolicyTwoChoices:
 		return dispatcher.New(chooser.New(e.places), e.sender, e.places, options...)
@@ -200,6 +212,11 @@
 	e.coordinator.PeerDown(e.clock(), peer)
 }
 
+// coldRight returns until when this host may give work to the cold endpoints of a group that it owns.
+func (e *Entry) coldRight(now time.Time, g group.Group, needed bool) time.Time {
+	return e.warden.Right(now, e.assigner.Shard(g), needed)
+}
+
 // lost takes in that an endpoint closed a connection unasked.
 func (e *Entry) lost(address string) {
 	if h, listed := e.places.Directory().GetEndpointByAddress(address); listed {
