Keep cold endpoints within their limit when owners, links and endpoints change

Cause: a property test with three arbiters on links in memory found two requests at a cold endpoint in two ways, and warm credits for one that had restarted in a third. A host that loses and regains a group under one lease started with an empty lender, while a peer that never saw the change held its cold credit. The first holding after a link came back freed all that the borrower had, and what was then granted was dropped or sent twice. A peer's claim of warmth, sent before a restart and read after it, made the endpoint warm for the owner that had seen the reset. Change: no cold credit for orphanFor after a group was lost; a first holding leaves the borrower's credits as in use until its holdings name them; a claim counts only for endpoints of which nothing is known, and a host's own unsettled doubt goes with it into its ownership. Conclusion: the sum over all hosts at a cold endpoint stays at one under disputed owners, cuts, restarts and pauses, as long as frames arrive within 100 ms or their link breaks, and a restart takes 150 ms.

--- a/poplarhook/models/observer/observer.go
+++ b/poplarhook/models/observer/observer.go
@@ -73,6 +73,12 @@
 	return isWithin(now, o.seen[endpoint].doubtedAt, doubtFor)
 }
 
+// IsUnsettled reports whether the endpoint was doubted a short time ago and not seen warm since.
+func (o *Observer) IsUnsettled(now time.Time, endpoint string) bool {
+	s := o.seen[endpoint]
+	return s.warmAt.Before(s.doubtedAt) && isWithin(now, s.doubtedAt, warmFor)
+}
+
 // IsLeaving reports whether the endpoint takes no new work.
 func (o *Observer) IsLeaving(now time.Time, endpoint string) bool {
 	return isWithin(now, o.seen[endpoint].leavingAt, leavingFor)
--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -11,6 +11,7 @@
 	"poplarhook.example/lib/borrower"
 	"poplarhook.example/lib/capacity"
 	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/lender"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/effect"
 	"poplarhook.example/poplarhook/models/group"
@@ -38,6 +39,10 @@
 
 	// demanded holds when each unanswered demand of this host was first sent, by its number.
 	demanded map[uint64]time.Time
+	// orphanFor is how long the credits of a lost borrower, or of a lost ownership, may be in use.
+	orphanFor time.Duration
+	// coldFrom is from when the owner may give work to cold endpoints.
+	coldFrom time.Time
 	// unsent holds releases that could not be sent yet.
 	unsent []*wire.Release
 	// owned is nil unless this host owns the group.
@@ -57,11 +62,15 @@
 		byNumber: make(map[uint32]string),
 		zoneOut:  func(string) bool { return false },
 		demanded: make(map[uint64]time.Time),
+
+		orphanFor: defaultOrphanFor,
 	}
 }
 
 const (
 	defaultHold = 50 * time.Millisecond
+	// defaultOrphanFor leaves a request a second after the last moment at which it may be sent.
+	defaultOrphanFor = lender.ColdValidity + time.Second
 	// demandMemory is how long an unanswered demand's sending time is kept.
 	demandMemory = time.Minute
 	maxDemanded  = 16384
@@ -111,6 +120,11 @@
 	a.borrower.SetHold(d)
 }
 
+// SetOrphanFor sets how long the credits of a lost borrower, or of a lost ownership, count as in use.
+func (a *Arbiter) SetOrphanFor(d time.Duration) {
+	a.orphanFor = d
+}
+
 // Tick does what the passing of time calls for.
 func (a *Arbiter) Tick(now time.Time) effect.Effect {
 	var e effect.Effect
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -16,6 +16,10 @@
 		return effect.Effect{}
 	}
 	a.owner = owner
+	if a.owned != nil {
+		// Should this host own the group again, peers may still use what it has lent before.
+		a.coldFrom = now.Add(a.orphanFor)
+	}
 	a.owned = nil
 	if owner == a.self {
 		a.owned = a.takeOver(now, proved)
@@ -81,6 +85,9 @@
 		if a.observer.IsWarm(now, h.ID) && proved(h.ID) {
 			o.assumeWarm(h.ID, a.observer.Incarnation(h.ID))
 		}
+		if a.observer.IsUnsettled(now, h.ID) {
+			o.see(now, &wire.Sighting{EndpointId: h.ID, Reset_: true})
+		}
 		if a.observer.IsLeaving(now, h.ID) {
 			o.see(now, &wire.Sighting{EndpointId: h.ID, Leaving: true, Incarnation: a.observer.Incarnation(h.ID)})
 		}
@@ -97,6 +104,9 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
+	if now.Before(a.coldFrom) {
+		until = time.Time{}
+	}
 	a.owned.lender.AllowCold(until)
 	return a.deliver(now, a.owned.lender.Tick(now))
 }
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -136,19 +136,15 @@
 
 // hold takes in what a borrower has in flight at an endpoint, and which endpoints it knows to be warm.
 func (o *ownership) hold(now time.Time, borrower, endpoint string, h *wire.Holding) []credit.Credit {
-	if h.GetFirst() {
-		for _, listed := range o.hosts {
-			o.lender.Hold(now, borrower, listed.ID, 0)
-		}
-	}
-	if endpoint == "" {
+	w, listed := o.warmers[endpoint]
+	if !listed {
 		return nil
 	}
-	if h.GetWarm() {
+	// A claim says nothing of when the endpoint was warm, so whatever is known of it here goes before.
+	if h.GetWarm() && w.State(now) == warmer.StateNew {
 		o.assumeWarm(endpoint, "")
 	}
-	o.lender.Hold(now, borrower, endpoint, int(h.GetCount()))
-	return o.lender.Tick(now)
+	return o.lender.Hold(now, borrower, endpoint, int(h.GetCount()))
 }
 
 // creditFrame tells a peer of its credit; a cold one's life counts from when its demand was sent.
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -114,8 +114,12 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
-	credits := a.owned.hold(now, from, a.byNumber[h.GetEndpoint()], h)
-	e := a.deliver(now, credits)
+	var e effect.Effect
+	if h.GetFirst() {
+		// What it held is not free before the holdings that follow have come.
+		e.Add(a.deliver(now, a.owned.lender.Forget(now, from, now.Add(a.orphanFor))))
+	}
+	e.Add(a.deliver(now, a.owned.hold(now, from, a.byNumber[h.GetEndpoint()], h)))
 	e.Add(a.lend(now))
 	return e
 }
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -143,6 +143,7 @@
 	}
 	created := &cell{arbiter: arbiter.New(c.self, g), waiting: make(map[uint64]chan binding.Binding)}
 	created.arbiter.SetHold(c.hold)
+	created.arbiter.SetOrphanFor(c.orphanFor)
 	created.mu.Lock()
 	defer created.mu.Unlock()
 	c.update(c.clock(), g, created)
