--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"poplarhook.example/lib/binding"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/effect"
@@ -59,8 +58,8 @@
 
 	mu    sync.RWMutex
 	cells map[group.Group]*cell
-	// order holds the cells as they were made; it only grows.
-	order    []*cell
+	// ordered holds the cells in the order of their creation; none is ever taken out.
+	ordered  []*cell
 	byNumber map[uint32]group.Group
 	hold     time.Duration
 
@@ -141,13 +140,13 @@
 	if found := c.cells[g]; found != nil {
 		return found
 	}
-	created := &cell{arbiter: arbiter.New(c.self, g), waiting: make(map[uint64]chan binding.Binding)}
+	created := newCell(g, arbiter.New(c.self, g))
 	created.arbiter.SetHold(c.hold)
 	created.mu.Lock()
 	defer created.mu.Unlock()
 	c.update(c.clock(), g, created)
 	c.cells[g] = created
-	c.order = append(c.order, created)
+	c.ordered = append(c.ordered, created)
 	c.byNumber[g.Number()] = g
 	return created
 }
@@ -187,14 +186,18 @@
 	c.each(func(_ group.Group, in *cell) { in.arbiter.SetHold(d) })
 }
 
+// all returns every cell.
+func (c *Coordinator) all() []*cell {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.ordered[:len(c.ordered):len(c.ordered)]
+}
+
 // each calls visit for every cell, locked.
 func (c *Coordinator) each(visit func(g group.Group, in *cell)) {
-	c.mu.RLock()
-	cells := c.order
-	c.mu.RUnlock()
-	for _, in := range cells {
+	for _, in := range c.all() {
 		in.mu.Lock()
-		visit(in.arbiter.Group(), in)
+		visit(in.group, in)
 		in.mu.Unlock()
 	}
 }
@@ -211,14 +214,15 @@
 
 // perform does what a locked cell's arbiter wants and reports whether every demand was sent.
 func (c *Coordinator) perform(now time.Time, in *cell, e effect.Effect) (sent bool) {
+	in.parked.Store(false)
 	sent = true
 	for _, b := range e.Bound {
-		if !in.deliver(b) {
+		if !in.deliver(now, b) {
 			c.perform(now, in, in.arbiter.Finish(now, b.Endpoint, b.Cold, report.Report{Cancelled: true}))
 		}
 	}
 	for _, id := range e.Expired {
-		in.expire(id)
+		in.expire(now, id)
 	}
 	for _, outgoing := range e.Frames {
 		err := c.link.Send(outgoing.To, outgoing.Frame)
