--- a/tests/failures/load_test.go
+++ b/tests/failures/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -178,3 +179,18 @@
 	}
 	return count
 }
+
+// percentile returns the latency of served requests at a share of them, zero when none was served.
+func (f finished) percentile(share float64) time.Duration {
+	var latencies []time.Duration
+	for _, o := range f.outcomes {
+		if o.Kind == outcome.Served {
+			latencies = append(latencies, o.Latency)
+		}
+	}
+	if len(latencies) == 0 {
+		return 0
+	}
+	slices.Sort(latencies)
+	return latencies[int(share*float64(len(latencies)-1))]
+}
