Keep a cold endpoint's place until it must have noticed that a request was given up

A request that is given up gave its credit back at once, and the next one reached the endpoint before it had seen the connection's end. Beside it, found by reading: a process that goes on after a pause decided by its old view until the next tick; a request bound alone could go out on a fresh connection, which may meet a restarted endpoint; a stopped watch did not look for an end that already lay in the socket. Change: a cold credit whose request was sent and given up is kept for 100 ms; after 100 ms without a tick a group is visited before anything is decided in it; requests bound alone use open connections only; a connection is looked at once more before it is used again.

--- a/poplarhook/models/binding/binding.go
+++ b/poplarhook/models/binding/binding.go
@@ -17,6 +17,8 @@
 	SendBy time.Time
 	// Alone says that the entry host bound the request without the owner.
 	Alone bool
+	// Free says that the request may also go out on a fresh connection though it was bound alone.
+	Free bool
 }
 
 // ValidAt reports whether the request may still be sent.
--- a/poplarhook/models/report/report.go
+++ b/poplarhook/models/report/report.go
@@ -20,6 +20,8 @@
 	Err error
 	// Cancelled says that this host gave the exchange up before its end.
 	Cancelled bool
+	// Unsent says that no byte of the request left this host.
+	Unsent bool
 	// Status is the answer's status code, zero without an answer.
 	Status int
 	// Closing says that the endpoint asked to close the connection.
--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -105,14 +105,16 @@
 // Exchange sends the request once and returns the endpoint's answer.
 //
 // A kept connection is used only if the endpoint answered on it within proofAge.
-// Nothing is sent from sendBy on, unless that is zero. The error is ErrHeldBack,
+// Nothing is sent from sendBy on, unless that is zero, and with reuseOnly
+// nothing on a fresh connection, which may meet an endpoint that has restarted.
+// The error is ErrHeldBack,
 // ErrNotSent or ErrBroken. The caller closes the answer's body.
-func (e *Exchanger) Exchange(ctx context.Context, request *http.Request, proofAge time.Duration, sendBy time.Time) (*http.Response, error) {
+func (e *Exchanger) Exchange(ctx context.Context, request *http.Request, proofAge time.Duration, sendBy time.Time, reuseOnly bool) (*http.Response, error) {
 	var message bytes.Buffer
 	if err := request.Write(&message); err != nil {
 		return nil, errors.Wrapf(ErrHeldBack, "encode request for %s: %v", e.address, err)
 	}
-	l, err := e.take(ctx, proofAge)
+	l, err := e.take(ctx, proofAge, reuseOnly)
 	if err != nil {
 		return nil, err
 	}
@@ -182,10 +184,13 @@
 }
 
 // take returns a proved idle connection or a fresh one.
-func (e *Exchanger) take(ctx context.Context, proofAge time.Duration) (*link, error) {
+func (e *Exchanger) take(ctx context.Context, proofAge time.Duration, reuseOnly bool) (*link, error) {
 	if l := e.takeIdle(proofAge); l != nil {
 		return l, nil
 	}
+	if reuseOnly {
+		return nil, errors.Wrapf(ErrHeldBack, "no open connection to %s is left", e.address)
+	}
 	if err := e.reserve(); err != nil {
 		return nil, err
 	}
@@ -210,6 +215,7 @@
 			return l
 		}
 		e.discard(l)
+		e.lost(e.address)
 	}
 }
 
--- a/poplarhook/modules/exchanger/exchanger_test.go
+++ b/poplarhook/modules/exchanger/exchanger_test.go
@@ -86,7 +86,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	response, err := e.Exchange(ctx, request, time.Minute, time.Time{})
+	response, err := e.Exchange(ctx, request, time.Minute, time.Time{}, false)
 	if err != nil {
 		return "", err
 	}
@@ -169,7 +169,7 @@
 	e := exchanger.New(fake.listener.Addr().String())
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	_, err := e.Exchange(ctx, newRequest(t, http.MethodGet), time.Minute, time.Time{})
+	_, err := e.Exchange(ctx, newRequest(t, http.MethodGet), time.Minute, time.Time{}, false)
 	c.Assert(errors.Is(err, exchanger.ErrBroken), quicktest.IsTrue)
 	close(late)
 	body, err := exchange(t, e, newRequest(t, http.MethodGet))
@@ -182,7 +182,7 @@
 	fake := newWireFake(t, func(_ int, conn net.Conn, _ *http.Request) bool { return say(conn, whole) })
 	now := time.Now()
 	e := exchanger.New(fake.listener.Addr().String(), exchanger.WithClock(func() time.Time { return now }))
-	_, err := e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, now)
+	_, err := e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, now, false)
 	c.Assert(errors.Is(err, exchanger.ErrHeldBack), quicktest.IsTrue)
 	c.Assert(fake.count(), quicktest.Equals, 0)
 }
@@ -208,7 +208,7 @@
 	}
 	c.Assert(e.Counts().Dialed, quicktest.Equals, uint64(1))
 	now = now.Add(time.Second)
-	response, err := e.Exchange(context.Background(), newRequest(t, http.MethodPost), 250*time.Millisecond, time.Time{})
+	response, err := e.Exchange(context.Background(), newRequest(t, http.MethodPost), 250*time.Millisecond, time.Time{}, false)
 	c.Assert(err, quicktest.IsNil)
 	response.Body.Close()
 	c.Assert(e.Counts().Dialed, quicktest.Equals, uint64(2))
@@ -232,3 +232,17 @@
 	c.Assert(e.Proved(), quicktest.IsFalse)
 	c.Assert(e.Counts().OpenNow, quicktest.Equals, 0)
 }
+
+func TestReuseOnlyOpensNoConnection(t *testing.T) {
+	c := quicktest.New(t)
+	fake := newWireFake(t, func(_ int, conn net.Conn, _ *http.Request) bool { return say(conn, whole) })
+	e := exchanger.New(fake.listener.Addr().String())
+	_, err := e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, time.Time{}, true)
+	c.Assert(errors.Is(err, exchanger.ErrHeldBack), quicktest.IsTrue)
+	_, err = exchange(t, e, newRequest(t, http.MethodGet))
+	c.Assert(err, quicktest.IsNil)
+	response, err := e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, time.Time{}, true)
+	c.Assert(err, quicktest.IsNil)
+	response.Body.Close()
+	c.Assert(fake.count(), quicktest.Equals, 2)
+}
--- a/poplarhook/modules/exchanger/link.go
+++ b/poplarhook/modules/exchanger/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -95,5 +96,27 @@
 	if err := <-l.watched; err != nil {
 		return err
 	}
+	if !l.isQuiet() {
+		return errUnasked
+	}
 	return l.conn.SetReadDeadline(time.Time{})
 }
+
+// isQuiet looks at the socket itself: a watch that was stopped in time may not have come to see what lies there.
+func (l *link) isQuiet() bool {
+	syscallConn, ok := l.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var probe [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(recvErr, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -38,6 +38,8 @@
 
 	// demanded holds when each unanswered demand of this host was first sent, by its number.
 	demanded map[uint64]time.Time
+	// settling holds cold credits of requests that were given up, until the endpoint must have noticed.
+	settling []settlement
 	// unsent holds releases that could not be sent yet.
 	unsent []*wire.Release
 	// owned is nil unless this host owns the group.
@@ -113,6 +115,7 @@
 		e.Add(a.tickOwner(now))
 	}
 	e.Add(a.refresh(now))
+	e.Add(a.settleCold(now))
 	e.Add(a.act(now, a.borrower.Tick(now)))
 	e.Add(a.resend())
 	a.forgetDemands(now)
@@ -121,7 +124,7 @@
 
 // IsBusy reports whether the group needs a Tick soon.
 func (a *Arbiter) IsBusy() bool {
-	if a.borrower.Waiting() > 0 || a.borrower.Idle() > 0 || len(a.unsent) > 0 {
+	if a.borrower.Waiting() > 0 || a.borrower.Idle() > 0 || len(a.unsent) > 0 || len(a.settling) > 0 {
 		return true
 	}
 	return a.owned != nil && a.owned.isBusy()
--- a/poplarhook/services/arbiter/arbiter_test.go
+++ b/poplarhook/services/arbiter/arbiter_test.go
@@ -147,3 +147,25 @@
 	c.Assert(bound[0].Until.After(at(500)), quicktest.IsFalse)
 	c.Assert(ask(a, at(3), 2).Bound, quicktest.HasLen, 0, quicktest.Commentf("a cold endpoint bears one request"))
 }
+
+// A request that was given up may still run at its endpoint, which has yet to see the connection's end.
+func TestColdPlaceIsKeptUntilTheEndpointHasNoticed(t *testing.T) {
+	c := quicktest.New(t)
+	a := newOwner("a")
+	bound := ask(a, at(1), 1).Bound
+	c.Assert(bound, quicktest.HasLen, 1)
+	ask(a, at(2), 2)
+	given := a.Finish(at(10), "a", true, report.Report{Cancelled: true})
+	c.Assert(given.Bound, quicktest.HasLen, 0)
+	c.Assert(a.Tick(at(100)).Bound, quicktest.HasLen, 0)
+	c.Assert(a.Tick(at(110)).Bound, quicktest.HasLen, 1)
+}
+
+func TestColdPlaceOfAnUnsentRequestIsFreeAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	a := newOwner("a")
+	c.Assert(ask(a, at(1), 1).Bound, quicktest.HasLen, 1)
+	ask(a, at(2), 2)
+	given := a.Finish(at(10), "a", true, report.Report{Cancelled: true, Unsent: true})
+	c.Assert(given.Bound, quicktest.HasLen, 1)
+}
--- a/poplarhook/services/arbiter/request.go
+++ b/poplarhook/services/arbiter/request.go
@@ -26,10 +26,34 @@
 	if !cold && (r.Err != nil || r.Cold) {
 		cold = a.observer.IsDoubted(now, endpoint)
 	}
+	if cold && !r.Unsent && (r.Cancelled || r.Err != nil) {
+		a.settling = append(a.settling, settlement{endpoint: endpoint, at: now.Add(settleFor)})
+		return e
+	}
 	e.Add(a.act(now, a.borrower.Finish(now, endpoint, cold)))
 	return e
 }
 
+// settlement is a cold credit that is given back once the endpoint must have noticed that its request was given up.
+type settlement struct {
+	endpoint string
+	at       time.Time
+}
+
+// settleFor is how long after its connection was closed an endpoint may still work on a request.
+const settleFor = 100 * time.Millisecond
+
+// settleCold gives back the cold credits whose time has come.
+func (a *Arbiter) settleCold(now time.Time) effect.Effect {
+	var e effect.Effect
+	for len(a.settling) > 0 && !now.Before(a.settling[0].at) {
+		endpoint := a.settling[0].endpoint
+		a.settling = a.settling[1:]
+		e.Add(a.act(now, a.borrower.Finish(now, endpoint, true)))
+	}
+	return e
+}
+
 // FinishAlone ends a request that Alone bound.
 func (a *Arbiter) FinishAlone(now time.Time, endpoint string, r report.Report) effect.Effect {
 	a.alone[endpoint]--
--- a/poplarhook/services/chooser/chooser.go
+++ b/poplarhook/services/chooser/chooser.go
@@ -71,7 +71,7 @@
 	now := c.clock()
 	for _, g := range w.Groups {
 		if endpoint, ok := c.choose(c.source.OpenEndpoints(now, g), w.Excluded); ok {
-			return binding.Binding{Group: g, Endpoint: endpoint, Alone: true}, nil
+			return binding.Binding{Group: g, Endpoint: endpoint, Alone: true, Free: true}, nil
 		}
 	}
 	return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint is open").WithRetryAfter(time.Second)
--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -32,6 +32,7 @@
 		now := c.clock()
 		in := c.cellFor(g)
 		in.mu.Lock()
+		c.notice(now, in)
 		if !in.arbiter.HasOpen(now) {
 			in.mu.Unlock()
 			continue
@@ -73,6 +74,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c.activate(in)
+	c.notice(now, in)
 	if b.Alone {
 		c.perform(now, in, in.arbiter.FinishAlone(now, b.Endpoint.ID, r))
 		return
@@ -149,7 +151,7 @@
 	bond := binding.Binding{Group: r.group, Endpoint: endpoint, Cold: b.Cold, SendBy: b.Until}
 	if !listed {
 		bond.Endpoint = host.Host{ID: b.Endpoint}
-		r.coordinator.Finish(bond, report.Report{Cancelled: true})
+		r.coordinator.Finish(bond, report.Report{Cancelled: true, Unsent: true})
 		return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "the endpoint is gone").WithRetryAfter(retryAfter)
 	}
 	return bond, nil
@@ -190,7 +192,7 @@
 	select {
 	case b, ok := <-r.bound:
 		if ok {
-			c.Finish(binding.Binding{Group: r.group, Endpoint: host.Host{ID: b.Endpoint}, Cold: b.Cold}, report.Report{Cancelled: true})
+			c.Finish(binding.Binding{Group: r.group, Endpoint: host.Host{ID: b.Endpoint}, Cold: b.Cold}, report.Report{Cancelled: true, Unsent: true})
 		}
 	default:
 	}
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -63,6 +63,9 @@
 	byNumber map[uint32]group.Group
 	hold     time.Duration
 
+	// lastTick is when the groups were last visited, in Unix nanoseconds.
+	lastTick atomic.Int64
+
 	activeMu sync.Mutex
 	active   []*cell
 }
@@ -202,6 +205,13 @@
 	}
 }
 
+// notice visits a locked cell before anything is decided in it after this process was paused.
+func (c *Coordinator) notice(now time.Time, in *cell) {
+	if now.UnixNano()-c.lastTick.Load() > int64(pausedAfter) {
+		c.visit(now, in)
+	}
+}
+
 // activate has the cell visited at each tick until it has nothing to wait for.
 func (c *Coordinator) activate(in *cell) {
 	if in.active.Swap(true) {
@@ -218,7 +228,7 @@
 	sent = true
 	for _, b := range e.Bound {
 		if !in.deliver(now, b) {
-			c.perform(now, in, in.arbiter.Finish(now, b.Endpoint, b.Cold, report.Report{Cancelled: true}))
+			c.perform(now, in, in.arbiter.Finish(now, b.Endpoint, b.Cold, report.Report{Cancelled: true, Unsent: true}))
 		}
 	}
 	for _, id := range e.Expired {
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -19,6 +19,8 @@
 	sweepEvery = 50
 	// sweepParts is how many such visits it takes to visit every group in no use.
 	sweepParts = 10
+	// pausedAfter is the time without a tick that tells of a pause of the process.
+	pausedAfter = 100 * time.Millisecond
 )
 
 // Receive takes in a frame about a group from another entry host; frames about unknown groups are counted.
@@ -32,6 +34,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c.activate(in)
+	c.notice(now, in)
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -128,6 +131,7 @@
 		}
 		now := c.clock()
 		c.visitActive(now)
+		c.lastTick.Store(now.UnixNano())
 		if n%sweepEvery != 0 {
 			continue
 		}
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -25,7 +25,7 @@
 	sentAt := d.clock()
 	if !b.ValidAt(sentAt) {
 		d.counter("binding_expired")
-		d.binder.Finish(b, report.Report{Cancelled: true, Err: exchanger.ErrHeldBack})
+		d.binder.Finish(b, report.Report{Cancelled: true, Unsent: true, Err: exchanger.ErrHeldBack})
 		return nil, errors.Wrap(refusal.ErrNotRun, "binding expired before sending")
 	}
 	if !b.Cold || j.Until.Sub(sentAt) <= d.coldDeadline {
@@ -83,9 +83,10 @@
 func (d *Dispatcher) failed(ctx context.Context, b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
 	heldBack := errors.Is(err, exchanger.ErrHeldBack)
 	seen.Cancelled = heldBack || ctx.Err() != nil
+	seen.Unsent = heldBack || errors.Is(err, exchanger.ErrNotSent)
 	seen = seen.WithResult(d.clock().Sub(sentAt), err)
 	d.binder.Finish(b, seen)
-	if heldBack || errors.Is(err, exchanger.ErrNotSent) {
+	if seen.Unsent {
 		d.counter("attempt_not_sent")
 		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
 	}
--- a/poplarhook/services/sender/sender.go
+++ b/poplarhook/services/sender/sender.go
@@ -89,7 +89,7 @@
 	if j.Class.IsOnceOnly() {
 		age = s.proofAge
 	}
-	return s.exchangerFor(b.Endpoint).Exchange(ctx, s.encode(b.Endpoint, j), age, b.SendBy)
+	return s.exchangerFor(b.Endpoint).Exchange(ctx, s.encode(b.Endpoint, j), age, b.SendBy, b.Alone && !b.Free)
 }
 
 // LeaveSilent gives up the idle connections to the endpoint that were last proved before the given time.
