Send credits, holdings and sightings again that the control budget refused

A credit over the budget was counted as lent by the lender and never reached its borrower; only releases were kept and sent again. After as many refusals as there are credits nothing was left to lend, not even to the owner itself. Holdings and sightings were lost alike.

--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -11,7 +11,6 @@
 	"poplarhook.example/lib/borrower"
 	"poplarhook.example/lib/capacity"
 	"poplarhook.example/lib/host"
-	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/effect"
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/observer"
@@ -38,8 +37,8 @@
 
 	// demanded holds when each unanswered demand of this host was first sent, by its number.
 	demanded map[uint64]time.Time
-	// unsent holds releases that could not be sent yet.
-	unsent []*wire.Release
+	// unsent holds the frames that could not be sent yet and that nothing would send again.
+	unsent []effect.Outgoing
 	// owned is nil unless this host owns the group.
 	owned *ownership
 }
@@ -222,22 +221,6 @@
 	}
 }
 
-// Unsent takes back a release that could not be sent; it is tried again at the next Tick.
-func (a *Arbiter) Unsent(frame *wire.Frame) {
-	if r := frame.GetRelease(); r != nil {
-		a.unsent = append(a.unsent, r)
-	}
-}
-
-func (a *Arbiter) resend() effect.Effect {
-	var e effect.Effect
-	for _, r := range a.unsent {
-		e.Send(a.owner, &wire.Frame{Body: &wire.Frame_Release{Release: r}})
-	}
-	a.unsent = nil
-	return e
-}
-
 // unlisted starts the id of an endpoint that another host knows only by its number.
 const unlisted = "#"
 
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -111,6 +111,7 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
+	a.dropUnsent(peer)
 	return a.deliver(now, a.owned.lender.Forget(now, peer, until))
 }
 
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -114,6 +114,9 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
+	if h.GetFirst() {
+		a.dropUnsent(from)
+	}
 	credits := a.owned.hold(now, from, a.byNumber[h.GetEndpoint()], h)
 	e := a.deliver(now, credits)
 	e.Add(a.lend(now))
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -216,7 +216,7 @@
 		}
 		c.count("control_unsent")
 		if !errors.Is(err, linker.ErrNotConnected) {
-			in.arbiter.Unsent(outgoing.Frame)
+			in.arbiter.Unsent(outgoing.To, outgoing.Frame)
 		}
 		sent = sent && outgoing.Frame.GetDemand() == nil
 	}
