--- a/lib/pacer/pacer.go
+++ b/lib/pacer/pacer.go
@@ -19,8 +19,6 @@
 	raise = 1.5
 	// holdStep is added when the hold is raised, and taken off when it is lowered.
 	holdStep = time.Millisecond
-	// reservedPart is the part of the burst that spare messages leave untouched, as its divisor.
-	reservedPart = 2
 	// lower is the share of the hold that is taken off besides.
 	lower = 0.05
 )
@@ -61,7 +59,9 @@
 	p.fill(now)
 	p.measure(now, bytes)
 	if float64(bytes) > p.tokens {
-		p.refuse(bytes)
+		p.refused = true
+		p.spending.RefusedMessages++
+		p.spending.RefusedBytes += uint64(max(bytes, 0))
 		return false
 	}
 	p.tokens -= float64(bytes)
@@ -70,17 +70,6 @@
 	return true
 }
 
-// AllowSpare is Allow for a message that others must not wait for: it leaves half of the burst to them.
-func (p *Pacer) AllowSpare(now time.Time, bytes int) bool {
-	p.fill(now)
-	if p.tokens-float64(bytes) >= p.burst/reservedPart {
-		return p.Allow(now, bytes)
-	}
-	p.measure(now, bytes)
-	p.refuse(bytes)
-	return false
-}
-
 // Wait returns how long until the budget allows a message of the given size if no other is sent before.
 func (p *Pacer) Wait(now time.Time, bytes int) time.Duration {
 	p.fill(now)
@@ -119,12 +108,6 @@
 	return s
 }
 
-func (p *Pacer) refuse(bytes int) {
-	p.refused = true
-	p.spending.RefusedMessages++
-	p.spending.RefusedBytes += uint64(max(bytes, 0))
-}
-
 func (p *Pacer) adjust() {
 	switch share := p.rate / float64(p.budget); {
 	case p.refused || share > highWater:
--- a/lib/pacer/pacer_test.go
+++ b/lib/pacer/pacer_test.go
@@ -78,19 +78,3 @@
 	qt.Assert(t, p.Spending().Hold, qt.Equals, 5*time.Second)
 	qt.Assert(t, p.Spending().Exhausted > 0, qt.IsTrue)
 }
-
-func TestSpareMessagesLeaveHalfOfTheBurst(t *testing.T) {
-	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	p := pacer.New(1000, pacer.WithBurst(time.Second))
-	spare := 0
-	for p.AllowSpare(now, 100) {
-		spare++
-	}
-	c.Assert(spare, qt.Equals, 5)
-	c.Assert(p.Spending().RefusedMessages, qt.Equals, uint64(1))
-	for range 5 {
-		c.Assert(p.Allow(now, 100), qt.IsTrue)
-	}
-	c.Assert(p.Allow(now, 100), qt.IsFalse)
-}
--- a/poplarhook/modules/linker/linker.go
+++ b/poplarhook/modules/linker/linker.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	if !l.isAllowed(frame, len(p.data)+FramingBytes) {
+	if isBudgeted(frame) && l.limiter != nil && !l.limiter.Allow(l.clock(), len(p.data)+FramingBytes) {
 		l.overBudget.Add(1)
 		return errors.Wrapf(ErrOverBudget, "%d bytes for host %s", len(p.data), hostID)
 	}
@@ -158,18 +158,6 @@
 	return nil
 }
 
-// isAllowed asks the budget; demands give way to what credits and endpoints depend on.
-func (l *Linker) isAllowed(frame *wire.Frame, bytes int) bool {
-	switch {
-	case l.limiter == nil || !isBudgeted(frame):
-		return true
-	case frame.GetDemand() != nil:
-		return l.limiter.AllowSpare(l.clock(), bytes)
-	default:
-		return l.limiter.Allow(l.clock(), bytes)
-	}
-}
-
 // Connected returns the ids of the hosts with a link, sorted.
 func (l *Linker) Connected() []string {
 	l.mu.Lock()
--- a/poplarhook/modules/linker/linker_test.go
+++ b/poplarhook/modules/linker/linker_test.go
@@ -139,8 +139,6 @@
 
 func (noBudget) Allow(time.Time, int) bool { return false }
 
-func (noBudget) AllowSpare(time.Time, int) bool { return false }
-
 func TestLimiterIsAskedForControlButNotForHeartbeats(t *testing.T) {
 	c := qt.New(t)
 	a, b := start(c, "a", linker.WithLimiter(noBudget{})), start(c, "b")
--- a/poplarhook/modules/linker/options.go
+++ b/poplarhook/modules/linker/options.go
@@ -15,8 +15,6 @@
 // Limiter decides whether a number of control bytes may be sent now.
 type Limiter interface {
 	Allow(now time.Time, bytes int) bool
-	// AllowSpare decides on bytes that give way to others.
-	AllowSpare(now time.Time, bytes int) bool
 }
 
 // WithHandler sets the function that receives each frame; it runs on the link's reader, so it must not block.
--- a/poplarhook/services/governor/governor.go
+++ b/poplarhook/services/governor/governor.go
@@ -36,13 +36,6 @@
 	return g.pacer.Allow(now, bytes)
 }
 
-// AllowSpare is Allow for a message that gives way to others.
-func (g *Governor) AllowSpare(now time.Time, bytes int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.pacer.AllowSpare(now, bytes)
-}
-
 // Spending returns what control traffic has cost so far.
 func (g *Governor) Spending() spending.Spending {
 	g.mu.Lock()
