Tell borrowers how long the owner's control budget wants credits kept

The hold grows where the budget is short, which is at the owners: 5 s there and 0 at their borrowers, whose own budgets were mostly unspent. So each request still took a credit frame of the owner's budget. Ruled out: demands that starve other frames (tried and reverted). Change: a credit carries the owner's hold, and a borrower keeps credits for the longer of both. A test that failed to compile the idea before: the borrower used to give the credit back after one request.

--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -37,6 +37,8 @@
 
 	// demanded holds when each unanswered demand of this host was first sent, by its number.
 	demanded map[uint64]time.Time
+	// ownerHold is how long the owner last wanted credits to be kept.
+	ownerHold time.Duration
 	// unsent holds the frames that could not be sent yet and that nothing would send again.
 	unsent []effect.Outgoing
 	// owned is nil unless this host owns the group.
@@ -96,9 +98,12 @@
 	return e
 }
 
-// SetHold sets how long an idle credit is kept; the owner's own are never kept, since asking costs it nothing.
+// SetHold sets how long an idle credit is kept at least; the owner may want that for longer.
+//
+// The owner's own are never kept, since asking costs it nothing.
 func (a *Arbiter) SetHold(d time.Duration) {
 	a.hold = d
+	d = max(d, a.ownerHold)
 	if a.owned != nil {
 		d = 0
 	}
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -17,6 +17,7 @@
 	}
 	a.owner = owner
 	a.owned = nil
+	a.ownerHold = 0
 	if owner == a.self {
 		a.owned = a.takeOver(now, proved)
 	}
--- a/poplarhook/services/arbiter/ownership.go
+++ b/poplarhook/services/arbiter/ownership.go
@@ -148,7 +148,7 @@
 }
 
 // creditFrame tells a peer of its credit; a cold one's life counts from when its demand was sent.
-func (o *ownership) creditFrame(g group.Group, c credit.Credit) *wire.Frame {
+func (o *ownership) creditFrame(g group.Group, c credit.Credit, hold time.Duration) *wire.Frame {
 	r := o.received[right{c.Borrower, c.Sequence}]
 	for i := range uint64(c.Count) {
 		delete(o.received, right{c.Borrower, c.Sequence + i})
@@ -165,6 +165,7 @@
 		Sequence: c.Sequence,
 		Cold:     c.Cold,
 		Scarce:   c.Scarce,
+		HoldMs:   uint32(hold.Milliseconds()),
 	}}}
 }
 
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -39,6 +39,10 @@
 		return effect.Effect{}
 	}
 	a.heardAt = now
+	if wanted := time.Duration(c.GetHoldMs()) * time.Millisecond; wanted != a.ownerHold {
+		a.ownerHold = wanted
+		a.SetHold(a.hold)
+	}
 	granted := credit.Credit{
 		Borrower: a.self,
 		Endpoint: a.idOf(c.GetEndpoint()),
@@ -191,7 +195,7 @@
 	var wanted action.Action
 	for _, c := range credits {
 		if c.Borrower != a.self {
-			e.Send(c.Borrower, a.owned.creditFrame(a.group, c))
+			e.Send(c.Borrower, a.owned.creditFrame(a.group, c, a.hold))
 			continue
 		}
 		got := a.borrower.Accept(now, c)
--- a/poplarhook/services/arbiter/unsent_test.go
+++ b/poplarhook/services/arbiter/unsent_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/effect"
+	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/services/arbiter"
 )
 
@@ -62,3 +64,23 @@
 	a.Unsent("e1", &wire.Frame{Body: &wire.Frame_Recall{Recall: &wire.Recall{}}})
 	c.Assert(a.Tick(at(1)).Frames, quicktest.HasLen, 0)
 }
+
+// An owner whose budget was short once granted one frame a request, as its borrowers' own budgets were not.
+func TestOwnersHoldReachesItsBorrowers(t *testing.T) {
+	c := quicktest.New(t)
+	owner := newOwner("a", "b")
+	ms := warmUp(c, owner, 0, 6)
+	owner.SetHold(time.Second)
+	borrower := arbiter.New("e1", group.Group{Service: "fabric_stock", Region: "oberbayern"})
+	borrower.SetEndpoints(at(ms), endpoints("a", "b"), noZoneOut)
+	borrower.SetOwner(at(ms), "e0", proved)
+	borrower.SetHold(0)
+	asked := ask(borrower, at(ms), 1)
+	credits := creditsOf(owner.Receive(at(ms), "e1", asked.Frames[len(asked.Frames)-1].Frame))
+	c.Assert(credits, quicktest.HasLen, 1)
+	bound := borrower.Receive(at(ms), "e0", credits[0]).Bound
+	c.Assert(bound, quicktest.HasLen, 1)
+	e := borrower.Finish(at(ms+4), bound[0].Endpoint, false, warmAnswer("i-"+bound[0].Endpoint))
+	c.Assert(e.Frames, quicktest.HasLen, 0, quicktest.Commentf("the credit is kept"))
+	c.Assert(ask(borrower, at(ms+5), 2).Bound, quicktest.HasLen, 1)
+}
