--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -19,12 +19,14 @@
 	hold        time.Duration
 	scarceFor   time.Duration
 	maxPatience time.Duration
+	maxTenure   time.Duration
 
 	waiting *waitlist.Waitlist[uint64, bucket]
 	// patient holds the waiting requests for which the owner is not to be asked yet.
 	patient *waitlist.Waitlist[uint64, struct{}]
-	// wanted counts the other waiting requests.
+	// wanted counts the other waiting requests; unasked holds those without a demand of their own.
 	wanted   map[bucket]int
+	unasked  *waitlist.Waitlist[uint64, bucket]
 	asked    ledger
 	accounts map[string]*account
 	// ordered holds the accounts by endpoint, so that one trace has one outcome.
@@ -43,9 +45,11 @@
 		hold:        defaultHold,
 		scarceFor:   defaultScarceFor,
 		maxPatience: defaultMaxPatience,
+		maxTenure:   defaultMaxTenure,
 		waiting:     waitlist.New[uint64, bucket](),
 		patient:     waitlist.New[uint64, struct{}](),
 		wanted:      make(map[bucket]int),
+		unasked:     waitlist.New[uint64, bucket](),
 		asked:       newLedger(name),
 		accounts:    make(map[string]*account),
 	}
@@ -66,9 +70,7 @@
 	key := bucket{urgency: min(max(urgency, 0), urgencies-1), excluded: excluded}
 	b.waiting.Push(id, key, key.urgency, until)
 	b.patient.Push(id, struct{}{}, 0, now.Add(b.patience(until.Sub(now))))
-	b.serve(now, &a)
-	b.want(now)
-	b.demandFor(now, &a, id)
+	b.settle(now, &a)
 	return a
 }
 
@@ -125,8 +127,8 @@
 
 // SetHold sets how long an idle credit is kept; zero asks the owner anew for each request.
 //
-// While others wait no credit is used for longer than that. A host with requests in flight waits for a tenth of it
-// for one of their credits before it asks for another, at most for the maximal patience.
+// While others wait no credit is used for longer than that or the maximal tenure. A host with requests in flight
+// waits for a tenth of it for one of their credits before it asks for another, at most for the maximal patience.
 func (b *Borrower) SetHold(d time.Duration) {
 	b.hold = d
 }
@@ -161,6 +163,9 @@
 	for _, n := range b.ordered {
 		n.carry()
 	}
+	for _, id := range b.waiting.All() {
+		b.unask(id)
+	}
 	b.settle(now, &a)
 	return a
 }
--- a/poplarhook/modules/server/server.go
+++ b/poplarhook/modules/server/server.go
@@ -36,6 +36,11 @@
 	return func(s *Server) { s.http.MaxHeaderBytes = bytes }
 }
 
+// WithConnContext sets what each connection adds to the context of its requests.
+func WithConnContext(add func(ctx context.Context, c net.Conn) context.Context) Option {
+	return func(s *Server) { s.http.ConnContext = add }
+}
+
 // WithDrainLimit bounds the time a stop waits for running requests.
 func WithDrainLimit(limit time.Duration) Option {
 	return func(s *Server) { s.limit = limit }
@@ -64,11 +69,6 @@
 	return done
 }
 
-// Announce makes every further answer ask its client to close the connection.
-func (s *Server) Announce() {
-	s.http.SetKeepAlivesEnabled(false)
-}
-
 func (s *Server) wait(ctx context.Context, served <-chan error) error {
 	select {
 	case err := <-served:
--- a/poplarhook/services/coordinator/cell.go
+++ b/poplarhook/services/coordinator/cell.go
@@ -20,6 +20,8 @@
 	arbiter *arbiter.Arbiter
 	// waiting holds where each waiting request expects its bond; a closed channel says that none came in time.
 	waiting map[uint64]chan binding.Binding
+	// active says that the cell is among those that are visited at each tick.
+	active atomic.Bool
 	// admitter names the waiting requests that cannot be answered in time.
 	admitter *admitter.Admitter
 }
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -32,6 +32,8 @@
 type members interface {
 	Owner(now time.Time, g group.Group) string
 	Sharers(now time.Time) int
+	// Fingerprint changes whenever owners may have changed.
+	Fingerprint(now time.Time) uint64
 }
 
 // connections tells whether a connection is open on which no close was seen.
@@ -60,6 +62,9 @@
 	ordered  []*cell
 	byNumber map[uint32]group.Group
 	hold     time.Duration
+
+	activeMu sync.Mutex
+	active   []*cell
 }
 
 // Option changes how a Coordinator is built.
@@ -197,6 +202,16 @@
 	}
 }
 
+// activate has the cell visited at each tick until it has nothing to wait for.
+func (c *Coordinator) activate(in *cell) {
+	if in.active.Swap(true) {
+		return
+	}
+	c.activeMu.Lock()
+	defer c.activeMu.Unlock()
+	c.active = append(c.active, in)
+}
+
 // perform does what a locked cell's arbiter wants and reports whether every demand was sent.
 func (c *Coordinator) perform(now time.Time, in *cell, e effect.Effect) (sent bool) {
 	in.parked.Store(false)
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -9,15 +9,16 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/report"
 	"poplarhook.example/poplarhook/services/arbiter"
 )
 
 const (
-	tickEvery = 5 * time.Millisecond
-	// sweepEvery is how many ticks pass between visits to groups where nothing waits.
-	sweepEvery = 20
-	// parkedSweeps is how many such visits are left out for groups in no use at all.
-	parkedSweeps = 10
+	tickEvery = 2 * time.Millisecond
+	// sweepEvery is how many ticks pass between visits to groups in use where nothing waits.
+	sweepEvery = 50
+	// sweepParts is how many such visits it takes to visit every group in no use.
+	sweepParts = 10
 )
 
 // Receive takes in a frame about a group from another entry host; frames about unknown groups are counted.
@@ -30,6 +31,7 @@
 	in := c.cellFor(g)
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	c.activate(in)
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -64,10 +66,17 @@
 	})
 }
 
-// PeerDown notes a broken link to an entry host, whose credits stay out until its requests must be over.
+// PeerDown notes a broken link to an entry host.
+//
+// What it holds of groups owned here stays out until its requests must be over;
+// credits that it lent as an owner are used no more.
 func (c *Coordinator) PeerDown(now time.Time, peer string) {
 	until := now.Add(c.orphanFor)
-	c.each(func(_ group.Group, in *cell) {
+	c.each(func(g group.Group, in *cell) {
+		if in.arbiter.Owner() == peer {
+			c.perform(now, in, in.arbiter.Relink(now, c.provedIn(g)))
+			return
+		}
 		c.perform(now, in, in.arbiter.PeerGone(now, peer, until))
 	})
 }
@@ -81,6 +90,22 @@
 	c.perform(now, in, in.arbiter.Lost(now, endpoint.ID))
 }
 
+// Unheard returns the endpoints of owned groups that have given no sign for the given time.
+func (c *Coordinator) Unheard(now time.Time, since time.Duration) []host.Host {
+	var hosts []host.Host
+	c.each(func(_ group.Group, in *cell) { hosts = append(hosts, in.arbiter.Unheard(now, since)...) })
+	return hosts
+}
+
+// Probed takes in what an endpoint's health says.
+func (c *Coordinator) Probed(endpoint host.Host, r report.Report) {
+	now := c.clock()
+	in := c.cellFor(group.Group{Service: endpoint.Service, Region: endpoint.Region})
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	c.perform(now, in, in.arbiter.Probed(now, endpoint.ID, r))
+}
+
 // Run does what the passing of time calls for until the context ends; the channel gives the end.
 func (c *Coordinator) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
@@ -94,35 +119,56 @@
 func (c *Coordinator) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	var seen uint64
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		c.sweep(c.clock(), n)
+		now := c.clock()
+		c.visitActive(now)
+		if n%sweepEvery != 0 {
+			continue
+		}
+		fingerprint := c.members.Fingerprint(now)
+		c.sweep(now, n/sweepEvery%sweepParts, fingerprint != seen)
+		seen = fingerprint
 	}
 }
 
-// sweep visits the groups whose turn it is at the tick of the given number.
-func (c *Coordinator) sweep(now time.Time, n int) {
-	isSweep := n%sweepEvery == 0
-	for i, in := range c.all() {
-		// Parked groups take turns, so that no tick visits all of them.
-		if in.parked.Load() && (n+i)%(sweepEvery*parkedSweeps) != 0 {
-			continue
-		}
+// visitActive visits the cells in which something waits.
+func (c *Coordinator) visitActive(now time.Time) {
+	c.activeMu.Lock()
+	cells := c.active
+	c.active = nil
+	c.activeMu.Unlock()
+	for _, in := range cells {
 		in.mu.Lock()
-		if isSweep || in.parked.Load() || in.arbiter.IsBusy() {
-			c.visit(now, in.group, in)
-			in.parked.Store(in.arbiter.IsUnused())
+		c.visit(now, in)
+		busy := in.arbiter.IsBusy()
+		in.active.Store(false)
+		if busy {
+			c.activate(in)
 		}
 		in.mu.Unlock()
 	}
 }
 
+// sweep visits the cells in use and one part of the others, or all when owners may have changed.
+func (c *Coordinator) sweep(now time.Time, part int, all bool) {
+	i := 0
+	c.each(func(_ group.Group, in *cell) {
+		if all || !in.parked.Load() || i%sweepParts == part {
+			c.visit(now, in)
+		}
+		i++
+	})
+}
+
 // visit does what the passing of time calls for in a locked cell.
-func (c *Coordinator) visit(now time.Time, g group.Group, in *cell) {
+func (c *Coordinator) visit(now time.Time, in *cell) {
+	g := in.group
 	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
 		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
 	}
@@ -132,6 +178,7 @@
 	}
 	c.refuse(now, in, in.admitter.Tick(now))
 	c.perform(now, in, in.arbiter.Tick(now))
+	in.parked.Store(in.arbiter.IsUnused())
 }
 
 // refuse gives up waiting requests of a locked cell that cannot be answered in time.
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -20,9 +20,11 @@
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/member"
 	"poplarhook.example/poplarhook/models/roster"
+	"poplarhook.example/poplarhook/models/scheduler"
 	"poplarhook.example/poplarhook/modules/certifier"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
+	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/routers/caller"
 	"poplarhook.example/poplarhook/services/allowance"
@@ -34,6 +36,7 @@
 	"poplarhook.example/poplarhook/services/governor"
 	"poplarhook.example/poplarhook/services/heartbeater"
 	"poplarhook.example/poplarhook/services/locator"
+	"poplarhook.example/poplarhook/services/prober"
 	"poplarhook.example/poplarhook/services/refresher"
 	"poplarhook.example/poplarhook/services/relayer"
 	"poplarhook.example/poplarhook/services/sender"
@@ -58,6 +61,7 @@
 	heartbeats  *heartbeater.Heartbeater
 	assigner    *assigner.Assigner
 	warden      *warden.Warden
+	prober      *prober.Prober
 	relayer     *relayer.Relayer
 	assembler   *assembler.Assembler
 	certifier   *certifier.Certifier
@@ -77,12 +81,12 @@
 }
 
 // New returns an Entry by settings that have passed their check.
-func New(s settings.Settings, l Listeners, logger *zap.Logger) (*Entry, error) {
+func New(s settings.Settings, l Listeners, logger *zap.Logger, clock func() time.Time) (*Entry, error) {
 	e := &Entry{
 		settings:  s,
 		logger:    logger,
-		clock:     time.Now,
-		startedAt: time.Now(),
+		clock:     clock,
+		startedAt: clock(),
 		meter:     meter.New("poplarhook"),
 		listeners: l,
 		places:    locator.New(s.Region),
@@ -137,7 +141,8 @@
 		PeerAddress:      self.PeerAddress,
 		AdminAddress:     self.AdminAddress,
 	}, options...)
-	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger))
+	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger),
+		heartbeater.WithScheduler(scheduler.New(self, scheduler.WithInterval(s.HeartbeatInterval))))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
 	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, lender.ColdValidity, s.ColdDeadline, e.clock,
 		func(now time.Time, shard string) bool { return e.assigner.OwnerOfShard(now, shard) == self.ID })
@@ -162,12 +167,14 @@
 		sender.WithLostHook(e.lost))
 	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.places, e.assigner, e.sender,
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
-		coordinator.WithOrphanFor(s.ColdDeadline),
+		coordinator.WithOrphanFor(lender.ColdValidity+s.ColdDeadline),
 		coordinator.WithColdRight(e.coldRight),
 		coordinator.WithCounter(e.meter.Count))
+	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
 	e.dispatcher = e.newDispatcher()
 	e.callers = caller.New(e.places.Classifier, e.dispatcher,
-		caller.WithMaxBody(s.MaxBody), caller.WithCounter(e.meter.CountRequest))
+		caller.WithMaxBody(s.MaxBody), caller.WithMaxRequests(s.MaxRequests),
+		caller.WithScreen(screener.IsAmbiguous), caller.WithCounter(e.meter.CountRequest))
 }
 
 func (e *Entry) newDispatcher() *dispatcher.Dispatcher {
