--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -11,7 +11,6 @@
 	"poplarhook.example/lib/borrower"
 	"poplarhook.example/lib/capacity"
 	"poplarhook.example/lib/host"
-	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/effect"
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/observer"
@@ -40,8 +39,10 @@
 	demanded map[uint64]time.Time
 	// settling holds cold credits of requests that were given up, until the endpoint must have noticed.
 	settling []settlement
-	// unsent holds releases that could not be sent yet.
-	unsent []*wire.Release
+	// ownerHold is how long the owner last wanted credits to be kept.
+	ownerHold time.Duration
+	// unsent holds the frames that could not be sent yet and that nothing would send again.
+	unsent []effect.Outgoing
 	// owned is nil unless this host owns the group.
 	owned *ownership
 }
@@ -99,9 +100,12 @@
 	return e
 }
 
-// SetHold sets how long an idle credit is kept; the owner's own are never kept, since asking costs it nothing.
+// SetHold sets how long an idle credit is kept at least; the owner may want that for longer.
+//
+// The owner's own are never kept, since asking costs it nothing.
 func (a *Arbiter) SetHold(d time.Duration) {
 	a.hold = d
+	d = max(d, a.ownerHold)
 	if a.owned != nil {
 		d = 0
 	}
@@ -225,22 +229,6 @@
 	}
 }
 
-// Unsent takes back a release that could not be sent; it is tried again at the next Tick.
-func (a *Arbiter) Unsent(frame *wire.Frame) {
-	if r := frame.GetRelease(); r != nil {
-		a.unsent = append(a.unsent, r)
-	}
-}
-
-func (a *Arbiter) resend() effect.Effect {
-	var e effect.Effect
-	for _, r := range a.unsent {
-		e.Send(a.owner, &wire.Frame{Body: &wire.Frame_Release{Release: r}})
-	}
-	a.unsent = nil
-	return e
-}
-
 // unlisted starts the id of an endpoint that another host knows only by its number.
 const unlisted = "#"
 
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -17,6 +17,7 @@
 	}
 	a.owner = owner
 	a.owned = nil
+	a.ownerHold = 0
 	if owner == a.self {
 		a.owned = a.takeOver(now, proved)
 	}
@@ -111,6 +112,7 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
+	a.dropUnsent(peer)
 	return a.deliver(now, a.owned.lender.Forget(now, peer, until))
 }
 
