--- a/tests/fleet/starter.go
+++ b/tests/fleet/starter.go
@@ -138,16 +138,17 @@
 	return nil
 }
 
-// StartEntry starts one more entry host, or one that has ended anew, and waits until it listens.
-func (f *Fleet) StartEntry(ctx context.Context, entry host.Host) error {
-	p, err := f.launchEntry(entry)
+// StartEntry starts one more entry host, or one that has ended anew, with some more arguments and waits
+// until it listens.
+func (f *Fleet) StartEntry(ctx context.Context, entry host.Host, arguments ...string) error {
+	p, err := f.launchEntry(entry, arguments...)
 	if err != nil {
 		return err
 	}
 	return f.admitEntry(ctx, p, entry)
 }
 
-func (f *Fleet) launchEntry(entry host.Host) (*process.Process, error) {
+func (f *Fleet) launchEntry(entry host.Host, more ...string) (*process.Process, error) {
 	arguments := []string{
 		"serve", "--host-id", entry.ID, "--region", entry.Region, "--availability-zone", entry.AvailabilityZone,
 		"--listen", anyPort, "--peer-listen", anyPort, "--admin-listen", anyPort,
@@ -156,7 +157,8 @@
 	if f.policy != "" {
 		arguments = append(arguments, "--policy", f.policy)
 	}
-	return f.launch(entry.ID, "poplarhook", []string{f.tokenEnvironment()}, append(arguments, f.entryArguments...)...)
+	arguments = append(arguments, f.entryArguments...)
+	return f.launch(entry.ID, "poplarhook", []string{f.tokenEnvironment()}, append(arguments, more...)...)
 }
 
 // admitEntry waits until the entry host listens and has the platform list it.
