--- a/poplarhook/services/arbiter/unsent_test.go
+++ b/poplarhook/services/arbiter/unsent_test.go
@@ -37,7 +37,7 @@
 func TestUnsentCreditIsSentAgain(t *testing.T) {
 	c := quicktest.New(t)
 	a := newOwner("a", "b")
-	ms := warmUp(c, a, 0, 6)
+	ms := warmUp(c, a, 10, 6)
 	credit := demandOf(c, a, ms, 1)
 	a.Unsent("e1", credit)
 	a.Unsent("e1", credit)
