Count requests bound alone as started for the admission

They were counted as given up, which made the measured rate of a group too low while its owner is silent.

--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -174,7 +174,7 @@
 	}
 	c.count("bound_alone")
 	delete(r.cell.waiting, r.id)
-	r.cell.admitter.Drop(now, r.id)
+	r.cell.admitter.Start(now, r.id)
 	c.perform(now, r.cell, r.cell.arbiter.Cancel(now, r.id))
 	return endpoint, true
 }
