--- /dev/null
+++ b/tests/secured/doc.go
@@ -0,0 +1,2 @@
+// Package secured tests deployments whose entry hosts authenticate each other.
+package secured
