--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -12,7 +12,6 @@
 	"poplarhook.example/lib/capacity"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/lender"
-	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/effect"
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/observer"
@@ -43,8 +42,12 @@
 	orphanFor time.Duration
 	// coldFrom is from when the owner may give work to cold endpoints.
 	coldFrom time.Time
-	// unsent holds releases that could not be sent yet.
-	unsent []*wire.Release
+	// settling holds cold credits of requests that were given up, until the endpoint must have noticed.
+	settling []settlement
+	// ownerHold is how long the owner last wanted credits to be kept.
+	ownerHold time.Duration
+	// unsent holds the frames that could not be sent yet and that nothing would send again.
+	unsent []effect.Outgoing
 	// owned is nil unless this host owns the group.
 	owned *ownership
 }
@@ -76,11 +79,6 @@
 	maxDemanded  = 16384
 )
 
-// Group returns the group that the Arbiter decides for.
-func (a *Arbiter) Group() group.Group {
-	return a.group
-}
-
 // Owner returns the entry host that owns the group, empty for none.
 func (a *Arbiter) Owner() string {
 	return a.owner
@@ -111,9 +109,12 @@
 	return e
 }
 
-// SetHold sets how long an idle credit is kept; the owner's own are never kept, since asking costs it nothing.
+// SetHold sets how long an idle credit is kept at least; the owner may want that for longer.
+//
+// The owner's own are never kept, since asking costs it nothing.
 func (a *Arbiter) SetHold(d time.Duration) {
 	a.hold = d
+	d = max(d, a.ownerHold)
 	if a.owned != nil {
 		d = 0
 	}
@@ -132,6 +133,7 @@
 		e.Add(a.tickOwner(now))
 	}
 	e.Add(a.refresh(now))
+	e.Add(a.settleCold(now))
 	e.Add(a.act(now, a.borrower.Tick(now)))
 	e.Add(a.resend())
 	a.forgetDemands(now)
@@ -140,12 +142,20 @@
 
 // IsBusy reports whether the group needs a Tick soon.
 func (a *Arbiter) IsBusy() bool {
-	if a.borrower.Waiting() > 0 || a.borrower.Idle() > 0 || len(a.unsent) > 0 {
+	if a.borrower.Waiting() > 0 || a.borrower.Idle() > 0 || len(a.unsent) > 0 || len(a.settling) > 0 {
 		return true
 	}
 	return a.owned != nil && a.owned.isBusy()
 }
 
+// IsUnused reports whether the group has neither work nor credits on this host, nor lent to others by it.
+func (a *Arbiter) IsUnused() bool {
+	if a.IsBusy() || len(a.alone) > 0 || len(a.borrower.InFlight()) > 0 {
+		return false
+	}
+	return a.owned == nil || a.owned.lender.Lent() == 0
+}
+
 // HasOpen reports whether this host knows of an endpoint that may get new work.
 func (a *Arbiter) HasOpen(now time.Time) bool {
 	for _, h := range a.endpoints {
@@ -233,22 +243,6 @@
 	}
 }
 
-// Unsent takes back a release that could not be sent; it is tried again at the next Tick.
-func (a *Arbiter) Unsent(frame *wire.Frame) {
-	if r := frame.GetRelease(); r != nil {
-		a.unsent = append(a.unsent, r)
-	}
-}
-
-func (a *Arbiter) resend() effect.Effect {
-	var e effect.Effect
-	for _, r := range a.unsent {
-		e.Send(a.owner, &wire.Frame{Body: &wire.Frame_Release{Release: r}})
-	}
-	a.unsent = nil
-	return e
-}
-
 // unlisted starts the id of an endpoint that another host knows only by its number.
 const unlisted = "#"
 
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -21,6 +21,7 @@
 		a.coldFrom = now.Add(a.orphanFor)
 	}
 	a.owned = nil
+	a.ownerHold = 0
 	if owner == a.self {
 		a.owned = a.takeOver(now, proved)
 	}
@@ -121,6 +122,7 @@
 	if a.owned == nil {
 		return effect.Effect{}
 	}
+	a.dropUnsent(peer)
 	return a.deliver(now, a.owned.lender.Forget(now, peer, until))
 }
 
--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	libbinding "poplarhook.example/lib/binding"
@@ -31,6 +32,7 @@
 		now := c.clock()
 		in := c.cellFor(g)
 		in.mu.Lock()
+		c.notice(now, in)
 		if !in.arbiter.HasOpen(now) {
 			in.mu.Unlock()
 			continue
@@ -72,10 +74,14 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c.activate(in)
+	c.notice(now, in)
 	if b.Alone {
 		c.perform(now, in, in.arbiter.FinishAlone(now, b.Endpoint.ID, r))
 		return
 	}
+	if r.Err == nil && !r.Cancelled && !b.Cold {
+		in.admitter.Finish(r.Latency)
+	}
 	c.perform(now, in, in.arbiter.Finish(now, b.Endpoint.ID, b.Cold, r))
 }
 
@@ -99,6 +105,11 @@
 	r.bound = make(chan libbinding.Binding, 1)
 	r.cell.waiting[r.id] = r.bound
 	c.activate(r.cell)
+	refused := r.cell.admitter.Admit(now, r.id, r.wish.Urgency, r.wish.Until)
+	c.refuse(now, r.cell, refused)
+	if slices.Contains(refused, r.id) {
+		return
+	}
 	r.unsent = !c.perform(now, r.cell, r.cell.arbiter.Ask(now, r.id, r.wish))
 	r.unsent = r.unsent || r.cell.arbiter.Owner() == ""
 }
@@ -140,7 +151,7 @@
 	bond := binding.Binding{Group: r.group, Endpoint: endpoint, Cold: b.Cold, SendBy: b.Until}
 	if !listed {
 		bond.Endpoint = host.Host{ID: b.Endpoint}
-		r.coordinator.Finish(bond, report.Report{Cancelled: true})
+		r.coordinator.Finish(bond, report.Report{Cancelled: true, Unsent: true})
 		return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "the endpoint is gone").WithRetryAfter(retryAfter)
 	}
 	return bond, nil
@@ -165,6 +176,7 @@
 	}
 	c.count("bound_alone")
 	delete(r.cell.waiting, r.id)
+	r.cell.admitter.Start(now, r.id)
 	c.perform(now, r.cell, r.cell.arbiter.Cancel(now, r.id))
 	return endpoint, true
 }
@@ -173,13 +185,14 @@
 func (r *request) cancel() (binding.Binding, error) {
 	c := r.coordinator
 	r.cell.mu.Lock()
+	r.cell.admitter.Drop(c.clock(), r.id)
 	delete(r.cell.waiting, r.id)
 	c.perform(c.clock(), r.cell, r.cell.arbiter.Cancel(c.clock(), r.id))
 	r.cell.mu.Unlock()
 	select {
 	case b, ok := <-r.bound:
 		if ok {
-			c.Finish(binding.Binding{Group: r.group, Endpoint: host.Host{ID: b.Endpoint}, Cold: b.Cold}, report.Report{Cancelled: true})
+			c.Finish(binding.Binding{Group: r.group, Endpoint: host.Host{ID: b.Endpoint}, Cold: b.Cold}, report.Report{Cancelled: true, Unsent: true})
 		}
 	default:
 	}
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -15,10 +15,12 @@
 
 const (
 	tickEvery = 2 * time.Millisecond
-	// sweepEvery is how many ticks pass between two parts of the visits to idle groups.
+	// sweepEvery is how many ticks pass between visits to groups in use where nothing waits.
 	sweepEvery = 50
-	// sweepParts is in how many parts the idle groups are visited.
+	// sweepParts is how many such visits it takes to visit every group in no use.
 	sweepParts = 10
+	// pausedAfter is the time without a tick that tells of a pause of the process.
+	pausedAfter = 100 * time.Millisecond
 )
 
 // Receive takes in a frame about a group from another entry host; frames about unknown groups are counted.
@@ -32,6 +34,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	c.activate(in)
+	c.notice(now, in)
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -128,6 +131,7 @@
 		}
 		now := c.clock()
 		c.visitActive(now)
+		c.lastTick.Store(now.UnixNano())
 		if n%sweepEvery != 0 {
 			continue
 		}
@@ -155,11 +159,11 @@
 	}
 }
 
-// sweep visits one part of the cells, or all of them when owners may have changed.
+// sweep visits the cells in use and one part of the others, or all when owners may have changed.
 func (c *Coordinator) sweep(now time.Time, part int, all bool) {
 	i := 0
 	c.each(func(_ group.Group, in *cell) {
-		if all || i%sweepParts == part {
+		if all || !in.parked.Load() || i%sweepParts == part {
 			c.visit(now, in)
 		}
 		i++
@@ -168,7 +172,7 @@
 
 // visit does what the passing of time calls for in a locked cell.
 func (c *Coordinator) visit(now time.Time, in *cell) {
-	g := in.arbiter.Group()
+	g := in.group
 	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
 		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
 	}
@@ -176,7 +180,18 @@
 		until := c.coldRight(now, g, in.arbiter.NeedsCold(now))
 		c.perform(now, in, in.arbiter.AllowCold(now, until))
 	}
+	c.refuse(now, in, in.admitter.Tick(now))
 	c.perform(now, in, in.arbiter.Tick(now))
+	in.parked.Store(in.arbiter.IsUnused())
+}
+
+// refuse gives up waiting requests of a locked cell that cannot be answered in time.
+func (c *Coordinator) refuse(now time.Time, in *cell, ids []uint64) {
+	for _, id := range ids {
+		c.count("bind_refused")
+		in.expire(now, id)
+		c.perform(now, in, in.arbiter.Cancel(now, id))
+	}
 }
 
 // States returns the state of every group, for dumps.
