--- /dev/null
+++ b/tests/failures/homes_test.go
@@ -0,0 +1,122 @@
+package failures_test
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/fleet"
+)
+
+// Marks in each part of a request that is bound to its home region.
+const (
+	bodyMark   = "mark-in-the-body"
+	headerMark = "mark-in-a-header"
+	keyMark    = "mark-in-the-key"
+	pathMark   = "mark-in-the-path"
+)
+
+// Nothing of a request that is bound to a home region is sent or kept elsewhere, even while the region's own
+// endpoints are few and an availability zone of it is out.
+func TestHomeBoundRequestsLeaveNoTraceElsewhere(t *testing.T) {
+	running := start(t, deployment.Kite().WithServices(deployment.Service{Name: "grant_payments", Servers: 6}),
+		fleet.WithEntries(6), fleet.WithEndpointProcessPerZone(), fleet.WithEndpointArguments("--record"),
+		fleet.WithEntryArguments("--log-level", "debug"))
+	var home []string
+	for _, entry := range running.Entries() {
+		if entry.Region == "pohja" {
+			home = append(home, entry.Address)
+		}
+	}
+	var served atomic.Int64
+	pay := func(rounds int) {
+		for range rounds {
+			for _, address := range home {
+				if payment(t, address) == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		}
+	}
+	pay(20)
+	qt.Assert(t, running.ZoneOut(t.Context(), "pohja-b"), qt.IsNil)
+	pay(20)
+	for _, endpoint := range running.Endpoints() {
+		if endpoint.AvailabilityZone == "pohja-a" {
+			control(t, running, endpoint, endpointFaults{Abrupt: new(true)})
+		}
+	}
+	pay(1)
+	qt.Assert(t, running.ZoneOut(t.Context(), "pohja-a"), qt.IsNil)
+	pay(1)
+	t.Logf("%d payments served", served.Load())
+	qt.Assert(t, served.Load() > 0, qt.IsTrue)
+	checkMarks(t, running)
+}
+
+func payment(t *testing.T, address string) int {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+address+"/payments/"+pathMark, strings.NewReader(bodyMark))
+	qt.Assert(t, err, qt.IsNil)
+	request.Header.Set("X-Marker", headerMark)
+	request.Header["idempotency-key"] = []string{keyMark}
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+// checkMarks searches all that stands outside the home region; the endpoints inside must have all marks.
+func checkMarks(t *testing.T, running *fleet.Fleet) {
+	t.Helper()
+	get := func(url string) string {
+		text, err := running.Get(t.Context(), url)
+		qt.Assert(t, err, qt.IsNil)
+		return string(text)
+	}
+	checkNone(t, "the platform", get(running.PlatformURL()+"/standin/dump"))
+	for i, control := range running.Controls() {
+		received := get("http://" + control + "/standin/received")
+		if zone := running.Deployment().Zones[i]; zone.Region == "pohja" {
+			for _, mark := range marks() {
+				qt.Check(t, strings.Contains(received, mark), qt.IsTrue, qt.Commentf("%s at home in %s", mark, zone.Name))
+			}
+			continue
+		}
+		checkNone(t, "endpoints of "+running.Deployment().Zones[i].Name, received)
+	}
+	for _, entry := range running.Entries() {
+		if entry.Region == "pohja" {
+			continue
+		}
+		dump, err := running.Ctl(t.Context(), fleet.Operators, "dump", "--host", entry.ID)
+		qt.Assert(t, err, qt.IsNil)
+		checkNone(t, "dump of "+entry.ID, dump)
+		checkNone(t, "metrics of "+entry.ID, get("http://"+entry.AdminAddress+"/metrics"))
+		logs, err := filepath.Glob(filepath.Join(running.LogFolder(), entry.ID+"*"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(logs) > 0, qt.IsTrue)
+		for _, path := range logs {
+			text, err := os.ReadFile(path)
+			qt.Assert(t, err, qt.IsNil)
+			checkNone(t, path, string(text))
+		}
+	}
+}
+
+func marks() []string {
+	return []string{bodyMark, headerMark, keyMark, pathMark}
+}
+
+func checkNone(t *testing.T, place, text string) {
+	t.Helper()
+	for _, mark := range marks() {
+		qt.Check(t, strings.Contains(text, mark), qt.IsFalse, qt.Commentf("%s in %s", mark, place))
+	}
+}
--- a/tests/failures/load_test.go
+++ b/tests/failures/load_test.go
@@ -180,8 +180,8 @@
 	return count
 }
 
-// percentile returns the latency of served requests at a share of them, zero when none was served.
-func (f finished) percentile(share float64) time.Duration {
+// p99 returns the 99th percentile of the latencies of served requests, zero when none was served.
+func (f finished) p99() time.Duration {
 	var latencies []time.Duration
 	for _, o := range f.outcomes {
 		if o.Kind == outcome.Served {
@@ -192,5 +192,5 @@
 		return 0
 	}
 	slices.Sort(latencies)
-	return latencies[int(share*float64(len(latencies)-1))]
+	return latencies[(len(latencies)-1)*99/100]
 }
--- /dev/null
+++ b/tests/failures/membership_test.go
@@ -0,0 +1,140 @@
+package failures_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/poplarbench/outcome"
+	"poplarhook.example/tests/deployment"
+	"poplarhook.example/tests/fleet"
+	"poplarhook.example/tests/link"
+)
+
+// disturbedShare bounds the requests through hosts that live which a loss of others disturbs, over the whole run.
+const disturbedShare = 0.05
+
+// A third of the entry hosts is lost at once, the owner among them; those that are left serve on.
+func TestLossOfAThirdOfTheHosts(t *testing.T) {
+	running, l, left := startToLose(t)
+	owner := ownerOf(t, running)
+	lost := time.Now()
+	for _, id := range lostWith(running, owner) {
+		qt.Assert(t, running.Kill(id), qt.IsNil)
+	}
+	checkRecovery(t, l, lost, left)
+}
+
+// A third of the entry hosts is frozen for longer than its peers wait, the owner among them, and goes on.
+func TestFreezeOfAThirdOfTheHosts(t *testing.T) {
+	running, l, left := startToLose(t)
+	owner := ownerOf(t, running)
+	lost := time.Now()
+	for _, id := range lostWith(running, owner) {
+		qt.Assert(t, running.Freeze(id), qt.IsNil)
+	}
+	pass(t, 2*time.Second)
+	for _, id := range lostWith(running, owner) {
+		qt.Assert(t, running.Thaw(id), qt.IsNil)
+	}
+	checkRecovery(t, l, lost, left)
+}
+
+// startToLose loads the hosts of a fleet of six that are not to be lost.
+func startToLose(t *testing.T) (*fleet.Fleet, *load, int) {
+	t.Helper()
+	running := start(t, pohja(deployment.Service{Name: "stock_availability", Servers: 4}), fleet.WithEntries(6))
+	warm := offer(t, running, 200, running.EntryAddresses(), lookups())
+	warm.awaitServed(t, 100)
+	warm.end(t).assertTrue(t)
+	lose := lostWith(running, ownerOf(t, running))
+	var addresses []string
+	for _, entry := range running.Entries() {
+		if entry.ID != lose[0] && entry.ID != lose[1] {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	l := offer(t, running, 300, addresses, lookups())
+	l.awaitServed(t, 300)
+	return running, l, len(addresses)
+}
+
+// lostWith returns a third of six hosts: the owner and one more.
+func lostWith(running *fleet.Fleet, owner string) []string {
+	for _, entry := range running.Entries() {
+		if entry.ID != owner {
+			return []string{owner, entry.ID}
+		}
+	}
+	return nil
+}
+
+// checkRecovery checks that few requests were disturbed and none later than a few seconds after the loss.
+func checkRecovery(t *testing.T, l *load, lost time.Time, hosts int) {
+	t.Helper()
+	pass(t, time.Until(lost.Add(few)))
+	l.awaitServed(t, 200)
+	f := l.end(t)
+	f.assertTrue(t)
+	disturbed := len(f.outcomes) - f.count(outcome.Served)
+	after := f.between(lost.Add(few), time.Now())
+	t.Logf("%d of %d requests through %d hosts disturbed; later than %v p99 %v", disturbed, len(f.outcomes), hosts, few, after.p99())
+	qt.Check(t, float64(disturbed) <= disturbedShare*float64(len(f.outcomes)), qt.IsTrue)
+	qt.Check(t, after.count(outcome.Served), qt.Equals, len(after.outcomes))
+}
+
+// Two halves of the entry hosts lose sight of each other: no cold endpoint gets more than it bears, no order runs
+// twice, both halves serve on, and they find each other again.
+func TestPartitionBetweenHalvesOfTheHosts(t *testing.T) {
+	running := start(t, pohja(deployment.Service{Name: "allocation", Servers: 4}), fleet.WithEntries(4),
+		coldEndpoints(), fleet.WithEndpointArguments("--start-warm"))
+	var links []*link.Link
+	for _, entry := range running.Entries()[2:] {
+		between, err := running.StartRelay(t.Context(), "link-"+entry.ID, entry.PeerAddress)
+		qt.Assert(t, err, qt.IsNil)
+		links = append(links, between)
+		entry.PeerAddress = between.Address()
+		qt.Assert(t, running.PutHost(t.Context(), entry), qt.IsNil)
+	}
+	for _, entry := range running.Entries()[:2] {
+		qt.Assert(t, running.Terminate(entry.ID), qt.IsNil)
+		qt.Assert(t, running.StartEntry(t.Context(), entry), qt.IsNil)
+	}
+	qt.Assert(t, running.WaitReady(t.Context()), qt.IsNil)
+	l := offer(t, running, 200, running.EntryAddresses(), orders())
+	l.awaitServed(t, 200)
+	for _, between := range links {
+		qt.Assert(t, between.Set(t.Context(), link.Faults{CutToTarget: true, CutFromTarget: true}), qt.IsNil)
+	}
+	cut := time.Now()
+	for _, entry := range running.Entries() {
+		await(t, entry.ID+" to lose the other half", func() bool { return len(connectedTo(t, running, entry.ID)) == 1 })
+	}
+	control(t, running, running.Endpoints()[0], endpointFaults{Restart: true})
+	l.awaitServed(t, 200)
+	healed := time.Now()
+	for _, between := range links {
+		qt.Assert(t, between.Set(t.Context(), link.Faults{}), qt.IsNil)
+	}
+	for _, entry := range running.Entries() {
+		await(t, entry.ID+" to find the other half", func() bool { return len(connectedTo(t, running, entry.ID)) == 3 })
+	}
+	l.awaitServed(t, 300)
+	f := l.end(t)
+	f.assertTrue(t)
+	during := f.between(cut, healed)
+	t.Logf("during the cut: %d of %d served, %v", during.count(outcome.Served), len(during.outcomes), during.reasons())
+	qt.Check(t, f.fellOver, qt.Equals, int64(0))
+	qt.Check(t, during.count(outcome.Served)*10 > len(during.outcomes)*9, qt.IsTrue)
+}
+
+// connectedTo returns the peers to which a host has a link.
+func connectedTo(t *testing.T, running *fleet.Fleet, id string) []string {
+	t.Helper()
+	var dumped struct {
+		Connected []string `json:"connected"`
+	}
+	qt.Assert(t, running.State(t.Context(), id, &dumped), qt.IsNil)
+	return dumped.Connected
+}
--- a/tests/failures/zone_test.go
+++ b/tests/failures/zone_test.go
@@ -94,8 +94,8 @@
 	for at := from; at.Add(window).Before(to); at = at.Add(window) {
 		in := f.between(at, at.Add(window))
 		unserved := len(in.outcomes) - in.count(outcome.Served)
-		t.Logf("%.0f s: %d of %d not served, p99 %v", at.Sub(from).Seconds(), unserved, len(in.outcomes), in.percentile(0.99))
+		t.Logf("%.0f s: %d of %d not served, p99 %v", at.Sub(from).Seconds(), unserved, len(in.outcomes), in.p99())
 		qt.Check(t, float64(unserved) <= dipRefusals*float64(len(in.outcomes)), qt.IsTrue)
-		qt.Check(t, in.percentile(0.99) <= dipLatency, qt.IsTrue)
+		qt.Check(t, in.p99() <= dipLatency, qt.IsTrue)
 	}
 }
