--- a/tests/failures/stop_test.go
+++ b/tests/failures/stop_test.go
@@ -17,43 +17,28 @@
 	"poplarhook.example/tests/fleet"
 )
 
-// An endpoint that says in its answers and its health that it leaves gets no new work after a few seconds
-// through any host, long before the host list says so.
-func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
-	running := start(t, regions(), fleet.WithEntries(6))
-	l := offer(t, running, 300, running.EntryAddresses(), lookups())
-	l.awaitServed(t, 300)
-	checkLeaving(t, running, endpointsOf(running, "stock_availability")[0], func(leaving host.Host) {
-		control(t, running, leaving, endpointFaults{Leaving: new(true)})
-	})
-	l.end(t).assertTrue(t)
-}
-
-// An endpoint that only the lagging host list says to leave gets no new work a few seconds after the list says so.
-func TestEndpointLeavingByTheListGetsNoNewWork(t *testing.T) {
+// An endpoint that says in its answers and its health that it leaves, long before the host list says so, and one of
+// which only the lagging list says so get no new work after a few seconds through any host.
+func TestLeavingEndpointsGetNoNewWork(t *testing.T) {
 	running := start(t, regions(), fleet.WithEntries(6))
 	l := offer(t, running, 300, running.EntryAddresses(), lookups())
 	l.awaitServed(t, 300)
 	controlPlatform(t, running, platformFaults{HostListLagMS: new(500)})
-	checkLeaving(t, running, endpointsOf(running, "stock_availability")[0], func(leaving host.Host) {
-		leaving.State = host.StateLeaving
-		qt.Assert(t, running.PutHost(t.Context(), leaving), qt.IsNil)
-	})
-	l.end(t).assertTrue(t)
-}
-
-func checkLeaving(t *testing.T, running *fleet.Fleet, leaving host.Host, leave func(leaving host.Host)) {
-	t.Helper()
+	endpoints := endpointsOf(running, "stock_availability")
 	left := time.Now()
-	leave(leaving)
+	control(t, running, endpoints[0], endpointFaults{Leaving: new(true)})
+	listed := endpoints[1]
+	listed.State = host.StateLeaving
+	qt.Assert(t, running.PutHost(t.Context(), listed), qt.IsNil)
 	pass(t, few+window)
-	records, err := running.Ledger(t.Context())
-	qt.Assert(t, err, qt.IsNil)
-	f := finished{executions: records.Executions}
-	ids := map[string]bool{leaving.ID: true}
-	t.Logf("%d executions later than %v", f.startedAt(ids, left.Add(zoneAim), time.Now()), zoneAim)
-	qt.Check(t, f.startedAt(ids, left.Add(few), time.Now()), qt.Equals, 0)
-	qt.Check(t, f.startedAt(ids, time.Time{}, left) > 0, qt.IsTrue)
+	f := l.end(t)
+	f.assertTrue(t)
+	for _, leaving := range endpoints[:2] {
+		ids := map[string]bool{leaving.ID: true}
+		t.Logf("%s: %d executions later than %v", leaving.ID, f.startedAt(ids, left.Add(zoneAim), time.Now()), zoneAim)
+		qt.Check(t, f.startedAt(ids, left.Add(few), time.Now()), qt.Equals, 0)
+		qt.Check(t, f.startedAt(ids, time.Time{}, left) > 0, qt.IsTrue)
+	}
 }
 
 // follower sends each request to an entry host that looks ready, as the platform's balancer does.
