Bind alone where the control budget leaves the owner no answer

Cause: with a budget of 2048 bytes a second requests waited for credits that the owner could not send, until they were refused; binding alone was for silent owners only, and an owner that answers some requests is not silent. Change: a request that has waited for the owner's time is bound alone when credits are held for half a second or more, which is how a short budget shows.

--- a/poplarhook/services/arbiter/request.go
+++ b/poplarhook/services/arbiter/request.go
@@ -163,6 +163,14 @@
 	return a.owned == nil && a.heardAt.Before(since)
 }
 
+// IsCoarse reports whether the control budget keeps credits for so long that waiting for another one is in vain.
+func (a *Arbiter) IsCoarse() bool {
+	return a.owned == nil && max(a.hold, a.ownerHold) >= coarseHold
+}
+
+// coarseHold is the hold from which on credits hardly move between hosts.
+const coarseHold = 500 * time.Millisecond
+
 // Alone binds a request without the owner, to an endpoint that this host knows to be warm and within its share.
 //
 // Proved tells whether a connection to the endpoint is open on which no close was seen.
--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -157,7 +157,7 @@
 	return bond, nil
 }
 
-// tryAlone binds without the owner if the owner could not be asked or is silent.
+// tryAlone binds without the owner if the owner could not be asked, is silent or has no budget to answer.
 func (r *request) tryAlone() (host.Host, bool) {
 	c := r.coordinator
 	r.cell.mu.Lock()
@@ -165,7 +165,7 @@
 	if _, waits := r.cell.waiting[r.id]; !waits {
 		return host.Host{}, false
 	}
-	if !r.unsent && !r.cell.arbiter.IsOwnerSilent(r.askedAt) {
+	if !r.unsent && !r.cell.arbiter.IsOwnerSilent(r.askedAt) && !r.cell.arbiter.IsCoarse() {
 		return host.Host{}, false
 	}
 	now := c.clock()
