Pause before asking again after a credit was refused

Ruled out: an unshrunk failure; the goroutine dump stood in Arbiter.receiveRelease under the test's delivery. Change: demands made while a credit is refused go out 10 ms later. tests/run.sh gives each package 300 s, so that a hang fails.

--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -1,6 +1,7 @@
 package arbiter
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"poplarhook.example/lib/action"
 	"poplarhook.example/lib/borrower"
 	"poplarhook.example/lib/capacity"
+	"poplarhook.example/lib/demand"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/lender"
 	"poplarhook.example/poplarhook/models/effect"
@@ -42,6 +44,9 @@
 	orphanFor time.Duration
 	// coldFrom is from when the owner may give work to cold endpoints.
 	coldFrom time.Time
+	// postponed holds demands made after a credit was refused; they go to the owner from postponedUntil on.
+	postponed      []demand.Demand
+	postponedUntil time.Time
 	// settling holds cold credits of requests that were given up, until the endpoint must have noticed.
 	settling []settlement
 	// ownerHold is how long the owner last wanted credits to be kept.
@@ -134,6 +139,7 @@
 	}
 	e.Add(a.refresh(now))
 	e.Add(a.settleCold(now))
+	e.Add(a.sendPostponed(now))
 	e.Add(a.act(now, a.borrower.Tick(now)))
 	e.Add(a.resend())
 	a.forgetDemands(now)
@@ -215,15 +221,51 @@
 	if a.owner == "" {
 		return
 	}
-	for _, d := range wanted.Demands {
-		a.noteDemand(now, d.Sequence, d.Count)
-		e.Send(a.owner, a.demandFrame(now, d))
+	if len(wanted.Refused) > 0 || len(a.postponed) > 0 {
+		a.postpone(now, wanted.Demands)
+	} else {
+		a.sendDemands(now, e, wanted.Demands)
 	}
 	for _, r := range wanted.Releases {
 		e.Send(a.owner, a.releaseFrame(r))
 	}
 }
 
+func (a *Arbiter) sendDemands(now time.Time, e *effect.Effect, demands []demand.Demand) {
+	for _, d := range demands {
+		a.noteDemand(now, d.Sequence, d.Count)
+		e.Send(a.owner, a.demandFrame(now, d))
+	}
+}
+
+// postponeFor is how long this host waits before it asks again after it refused a credit.
+const postponeFor = 10 * time.Millisecond
+
+// postpone keeps demands back while this host and the owner see endpoints otherwise.
+//
+// Else two endpoints that are closed here and open there are granted and
+// refused in turns as fast as frames travel.
+func (a *Arbiter) postpone(now time.Time, demands []demand.Demand) {
+	if len(a.postponed) == 0 {
+		a.postponedUntil = now.Add(postponeFor)
+	}
+	a.postponed = append(a.postponed, demands...)
+}
+
+// sendPostponed sends the demands whose time has come and that are still worth it.
+func (a *Arbiter) sendPostponed(now time.Time) effect.Effect {
+	var e effect.Effect
+	if len(a.postponed) == 0 || now.Before(a.postponedUntil) {
+		return e
+	}
+	due := slices.DeleteFunc(a.postponed, func(d demand.Demand) bool { return d.IsExpired(now) })
+	a.postponed = nil
+	if a.owned == nil && a.owner != "" {
+		a.sendDemands(now, &e, due)
+	}
+	return e
+}
+
 func (a *Arbiter) noteDemand(now time.Time, sequence uint64, count int) {
 	for i := range uint64(count) {
 		if _, sent := a.demanded[sequence+i]; !sent {
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -39,6 +39,7 @@
 
 func (a *Arbiter) restart(now time.Time, proved func(endpoint string) bool) effect.Effect {
 	a.unsent = nil
+	a.postponed = nil
 	clear(a.demanded)
 	var e effect.Effect
 	if a.owned == nil && a.owner != "" {
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -7,7 +7,7 @@
 : >"$log"
 status=0
 for module in lib poplarbench poplarctl poplarhook standin tests; do
-	(cd "$module" && go test -count=1 ./...) 2>&1 | tee -a "$log"
+	(cd "$module" && go test -count=1 -timeout 300s ./...) 2>&1 | tee -a "$log"
 	[ "${PIPESTATUS[0]}" -eq 0 ] || status=1
 done
 [ "$status" -eq 0 ] && exit 0
