--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -19,6 +19,9 @@
 // HeaderRequestID carries the id of a request; an absent one is made up.
 const HeaderRequestID = "X-Request-Id"
 
+// HeaderTimeout carries a caller's own deadline, as the gRPC protocol writes it; a longer one than the class's counts for nothing.
+const HeaderTimeout = "Grpc-Timeout"
+
 const maxRequestID = 128
 
 // classifier finds the class of a request.
@@ -152,6 +155,9 @@
 	}
 	j.Method, j.URL, j.Host, j.Header, j.Body = r.Method, r.URL, r.Host, r.Header, body
 	j.Until = arrived.Add(found.Deadline())
+	if own, given := deadlineOf(r.Header.Get(HeaderTimeout)); given && own < found.Deadline() {
+		j.Until = arrived.Add(own)
+	}
 	return j, nil
 }
 
--- /dev/null
+++ b/poplarhook/routers/caller/deadline.go
@@ -0,0 +1,31 @@
+package caller
+
+import (
+	"strconv"
+	"time"
+)
+
+// maxTimeoutDigits is how many digits the gRPC protocol allows.
+const maxTimeoutDigits = 8
+
+var timeoutUnits = map[byte]time.Duration{
+	'H': time.Hour,
+	'M': time.Minute,
+	'S': time.Second,
+	'm': time.Millisecond,
+	'u': time.Microsecond,
+	'n': time.Nanosecond,
+}
+
+// deadlineOf returns the time that a Grpc-Timeout header gives, and whether it gives any.
+func deadlineOf(header string) (time.Duration, bool) {
+	if len(header) < 2 || len(header) > maxTimeoutDigits+1 {
+		return 0, false
+	}
+	unit, known := timeoutUnits[header[len(header)-1]]
+	amount, err := strconv.ParseUint(header[:len(header)-1], 10, 32)
+	if !known || err != nil {
+		return 0, false
+	}
+	return time.Duration(amount) * unit, true
+}
--- a/standin/cmd/endpoints.go
+++ b/standin/cmd/endpoints.go
@@ -89,7 +89,8 @@
 	if err := e.check(hosts); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	asked := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(asked))
 	defer cancel()
 	listener, err := listen(ctx, e.control)
 	if err != nil {
@@ -109,6 +110,8 @@
 	if err := announce(stdout, ready); err != nil {
 		return err
 	}
+	stopWatching := context.AfterFunc(asked, func() { leave(played, cancel) })
+	defer stopWatching()
 	err = <-done
 	cancel()
 	if controlErr := <-controlDone; err == nil {
@@ -117,6 +120,15 @@
 	return err
 }
 
+// leaveNotice is how long endpoints that were asked to stop say that they leave before they do.
+const leaveNotice = 300 * time.Millisecond
+
+// leave stops the endpoints as planned: they say so, and finish what runs.
+func leave(played *supervisor.Supervisor, end context.CancelFunc) {
+	played.Leave()
+	time.AfterFunc(leaveNotice, end)
+}
+
 func (e *endpoints) check(hosts []host.Host) error {
 	switch {
 	case len(hosts) == 0:
--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -179,8 +179,16 @@
 	return done
 }
 
+// drainLimit bounds the time that running requests are given at a stop.
+const drainLimit = 500 * time.Millisecond
+
+// stop finishes what runs, in bounded time.
 func (r *Responder) stop(server *http.Server) {
-	_ = server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.life.end()
--- a/standin/supervisor/supervisor.go
+++ b/standin/supervisor/supervisor.go
@@ -60,6 +60,13 @@
 	return done, nil
 }
 
+// Leave has every endpoint say that it takes no new work.
+func (s *Supervisor) Leave() {
+	for _, endpoint := range s.endpoints {
+		endpoint.Change(func(settings *responder.Settings) { settings.Leaving = true })
+	}
+}
+
 // Hosts returns the hosts that the endpoints play, with their actual addresses and incarnations.
 func (s *Supervisor) Hosts() []host.Host {
 	hosts := make([]host.Host, 0, len(s.endpoints))
