Revert "Try: a new owner asks all hosts to tell it what they hold"

Conclusion: the cause of the refusals is still to be found; the first thing to look at is what the new owner knows of warm endpoints.

--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -26,9 +26,7 @@
 	self  string
 	group group.Group
 
-	owner string
-	// proved tells whether a connection to an endpoint is open on which no close was seen.
-	proved   func(endpoint string) bool
+	owner    string
 	heardAt  time.Time
 	borrower *borrower.Borrower
 	hold     time.Duration
@@ -71,7 +69,6 @@
 		byID:     make(map[string]host.Host),
 		byNumber: make(map[uint32]string),
 		zoneOut:  func(string) bool { return false },
-		proved:   func(string) bool { return false },
 		demanded: make(map[uint64]time.Time),
 
 		orphanFor: defaultOrphanFor,
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -16,7 +16,6 @@
 		return effect.Effect{}
 	}
 	a.owner = owner
-	a.proved = proved
 	if a.owned != nil {
 		// Should this host own the group again, peers may still use what it has lent before.
 		a.coldFrom = now.Add(a.orphanFor)
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -19,7 +19,7 @@
 	case *wire.Frame_Credit:
 		return a.receiveCredit(now, from, body.Credit)
 	case *wire.Frame_Recall:
-		return a.receiveRecall(now, from, body.Recall)
+		return a.receiveRecall(now, from)
 	case *wire.Frame_Demand:
 		return a.receiveDemand(now, from, body.Demand)
 	case *wire.Frame_Release:
@@ -62,14 +62,11 @@
 	return e
 }
 
-func (a *Arbiter) receiveRecall(now time.Time, from string, r *wire.Recall) effect.Effect {
+func (a *Arbiter) receiveRecall(now time.Time, from string) effect.Effect {
 	if from != a.owner {
 		return effect.Effect{}
 	}
 	a.heardAt = now
-	if r.GetRestart() {
-		return a.Relink(now, a.proved)
-	}
 	return a.act(now, a.borrower.Recall(now))
 }
 
--- a/poplarhook/services/assigner/assigner.go
+++ b/poplarhook/services/assigner/assigner.go
@@ -19,7 +19,6 @@
 	Candidates(now time.Time) []member.Member
 	Live(now time.Time) []member.Member
 	Fresh(now time.Time) bool
-	Self() member.Member
 }
 
 // Assigner names owners by rendezvous over the live entry hosts of a group's region, safe for concurrent use.
@@ -76,18 +75,6 @@
 	return a.rank(region, names).Owner(shard)
 }
 
-// Peers returns the other live entry hosts.
-func (a *Assigner) Peers(now time.Time) []string {
-	self := a.roster.Self().ID
-	var peers []string
-	for _, m := range a.roster.Live(now) {
-		if m.ID != self {
-			peers = append(peers, m.ID)
-		}
-	}
-	return peers
-}
-
 // Fingerprint changes whenever owners may have changed.
 func (a *Assigner) Fingerprint(now time.Time) uint64 {
 	digest := xxhash.New()
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -32,8 +32,6 @@
 type members interface {
 	Owner(now time.Time, g group.Group) string
 	Sharers(now time.Time) int
-	// Peers returns the other live entry hosts.
-	Peers(now time.Time) []string
 	// Fingerprint changes whenever owners may have changed.
 	Fingerprint(now time.Time) uint64
 }
@@ -160,24 +158,7 @@
 // update gives a locked cell its present endpoints and owner.
 func (c *Coordinator) update(now time.Time, g group.Group, in *cell) {
 	c.perform(now, in, in.arbiter.SetEndpoints(now, c.places.Endpoints(g), c.places.IsZoneOut))
-	c.setOwner(now, in, c.members.Owner(now, g))
-}
-
-// setOwner names a locked cell's owner; a host that becomes one has the others tell it what they hold.
-func (c *Coordinator) setOwner(now time.Time, in *cell, owner string) {
-	if owner == in.arbiter.Owner() {
-		return
-	}
-	c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(in.group)))
-	if !in.arbiter.IsOwner() {
-		return
-	}
-	restart := &wire.Frame{Body: &wire.Frame_Recall{Recall: &wire.Recall{Group: in.group.Number(), Restart: true}}}
-	for _, peer := range c.members.Peers(now) {
-		if c.link.Send(peer, restart) != nil {
-			c.count("control_unsent")
-		}
-	}
+	c.perform(now, in, in.arbiter.SetOwner(now, c.members.Owner(now, g), c.provedIn(g)))
 }
 
 func (c *Coordinator) provedIn(g group.Group) func(endpoint string) bool {
--- a/poplarhook/services/coordinator/coordinator_test.go
+++ b/poplarhook/services/coordinator/coordinator_test.go
@@ -61,8 +61,6 @@
 
 func (n *network) Sharers(time.Time) int { return 2 }
 
-func (n *network) Peers(time.Time) []string { return nil }
-
 func (n *network) Fingerprint(time.Time) uint64 { return 0 }
 
 func (n *network) setCut(host string) {
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -35,10 +35,6 @@
 	defer in.mu.Unlock()
 	c.activate(in)
 	c.notice(now, in)
-	if frame.GetHolding() != nil && !in.arbiter.IsOwner() {
-		// Others may have heard of a change of owners before this host looked.
-		c.setOwner(now, in, c.members.Owner(now, g))
-	}
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -177,7 +173,9 @@
 // visit does what the passing of time calls for in a locked cell.
 func (c *Coordinator) visit(now time.Time, in *cell) {
 	g := in.group
-	c.setOwner(now, in, c.members.Owner(now, g))
+	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
+		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
+	}
 	if in.arbiter.IsOwner() {
 		until := c.coldRight(now, g, in.arbiter.NeedsCold(now))
 		c.perform(now, in, in.arbiter.AllowCold(now, until))
