Let requests bound alone open a connection beside an older open one

Change: a fresh connection is allowed while an older one is open before and after it is made, which shows that the endpoint has not restarted.

--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -105,8 +105,8 @@
 // Exchange sends the request once and returns the endpoint's answer.
 //
 // A kept connection is used only if the endpoint answered on it within proofAge.
-// Nothing is sent from sendBy on, unless that is zero, and with reuseOnly
-// nothing on a fresh connection, which may meet an endpoint that has restarted.
+// Nothing is sent from sendBy on, unless that is zero. With reuseOnly, nothing
+// is sent unless an open connection shows that the endpoint has not restarted.
 // The error is ErrHeldBack,
 // ErrNotSent or ErrBroken. The caller closes the answer's body.
 func (e *Exchanger) Exchange(ctx context.Context, request *http.Request, proofAge time.Duration, sendBy time.Time, reuseOnly bool) (*http.Response, error) {
@@ -188,7 +188,7 @@
 	if l := e.takeIdle(proofAge); l != nil {
 		return l, nil
 	}
-	if reuseOnly {
+	if reuseOnly && !e.hasQuiet() {
 		return nil, errors.Wrapf(ErrHeldBack, "no open connection to %s is left", e.address)
 	}
 	if err := e.reserve(); err != nil {
@@ -201,7 +201,19 @@
 		e.unreserve()
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", e.address, err)
 	}
-	return newLink(conn, e.clock()), nil
+	l := newLink(conn, e.clock())
+	if reuseOnly && !e.hasQuiet() {
+		e.discard(l)
+		return nil, errors.Wrapf(ErrHeldBack, "no older connection to %s is open", e.address)
+	}
+	return l, nil
+}
+
+// hasQuiet reports whether an idle connection is open at this moment.
+func (e *Exchanger) hasQuiet() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.ContainsFunc(e.idle, (*link).isQuiet)
 }
 
 // takeIdle returns the idle connection proved last, closing those found dead.
--- a/poplarhook/modules/exchanger/exchanger_test.go
+++ b/poplarhook/modules/exchanger/exchanger_test.go
@@ -233,6 +233,21 @@
 	c.Assert(e.Counts().OpenNow, quicktest.Equals, 0)
 }
 
+// Once-only work that is bound alone may need a fresh connection; an older open one shows that the endpoint is the same.
+func TestReuseOnlyTrustsAnOlderOpenConnection(t *testing.T) {
+	c := quicktest.New(t)
+	fake := newWireFake(t, func(_ int, conn net.Conn, _ *http.Request) bool { return say(conn, whole) })
+	now := time.Now()
+	e := exchanger.New(fake.listener.Addr().String(), exchanger.WithClock(func() time.Time { return now }))
+	_, err := exchange(t, e, newRequest(t, http.MethodGet))
+	c.Assert(err, quicktest.IsNil)
+	now = now.Add(time.Second)
+	response, err := e.Exchange(context.Background(), newRequest(t, http.MethodPost), 250*time.Millisecond, time.Time{}, true)
+	c.Assert(err, quicktest.IsNil)
+	response.Body.Close()
+	c.Assert(e.Counts().Dialed, quicktest.Equals, uint64(2))
+}
+
 func TestReuseOnlyOpensNoConnection(t *testing.T) {
 	c := quicktest.New(t)
 	fake := newWireFake(t, func(_ int, conn net.Conn, _ *http.Request) bool { return say(conn, whole) })
