--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -167,7 +167,7 @@
 		},
 	}
 	done := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() { r.stop(server) })
+	stop := context.AfterFunc(ctx, func() { r.stop(ctx, server) })
 	go func() {
 		defer stop()
 		err := server.Serve(r.gate)
@@ -183,8 +183,8 @@
 const drainLimit = 500 * time.Millisecond
 
 // stop finishes what runs, in bounded time.
-func (r *Responder) stop(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+func (r *Responder) stop(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainLimit)
 	defer cancel()
 	if server.Shutdown(ctx) != nil {
 		_ = server.Close()
