Let each half of the partition test reach the other through relays only

Cause: the relays stood only before the hosts of one half, and the others dialed them past the relays. Of two links the one dialed by the host with the lower id stays, so the relays carried the links; after the cut the higher hosts dialed the lower ones directly and were connected again, so that the test waited in vain unless it looked in between. Change: the second half reads a host list of its own, in which the first half stands behind relays; the test also checks that the halves stay apart until they are healed, and that all are connected before. Lines of KNOWN-RED.txt that cannot match stop the test run.

--- a/tests/failures/membership_test.go
+++ b/tests/failures/membership_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarbench/outcome"
 	"poplarhook.example/tests/deployment"
 	"poplarhook.example/tests/fleet"
@@ -89,34 +90,21 @@
 func TestPartitionBetweenHalvesOfTheHosts(t *testing.T) {
 	running := start(t, pohja(deployment.Service{Name: "allocation", Servers: 4}), fleet.WithEntries(4),
 		coldEndpoints(), fleet.WithEndpointArguments("--start-warm"))
-	var links []*link.Link
-	for _, entry := range running.Entries()[2:] {
-		between, err := running.StartRelay(t.Context(), "link-"+entry.ID, entry.PeerAddress)
-		qt.Assert(t, err, qt.IsNil)
-		links = append(links, between)
-		entry.PeerAddress = between.Address()
-		qt.Assert(t, running.PutHost(t.Context(), entry), qt.IsNil)
-	}
-	for _, entry := range running.Entries()[:2] {
-		qt.Assert(t, running.Terminate(entry.ID), qt.IsNil)
-		qt.Assert(t, running.StartEntry(t.Context(), entry), qt.IsNil)
-	}
-	qt.Assert(t, running.WaitReady(t.Context()), qt.IsNil)
+	links := relayBetweenHalves(t, running)
 	l := offer(t, running, 200, running.EntryAddresses(), orders())
 	l.awaitServed(t, 200)
-	for _, between := range links {
-		qt.Assert(t, between.Set(t.Context(), link.Faults{CutToTarget: true, CutFromTarget: true}), qt.IsNil)
-	}
+	setLinks(t, links, link.Faults{CutToTarget: true, CutFromTarget: true})
 	cut := time.Now()
 	for _, entry := range running.Entries() {
 		await(t, entry.ID+" to lose the other half", func() bool { return len(connectedTo(t, running, entry.ID)) == 1 })
 	}
 	control(t, running, running.Endpoints()[0], endpointFaults{Restart: true})
 	l.awaitServed(t, 200)
-	healed := time.Now()
-	for _, between := range links {
-		qt.Assert(t, between.Set(t.Context(), link.Faults{}), qt.IsNil)
+	for _, entry := range running.Entries() {
+		qt.Assert(t, connectedTo(t, running, entry.ID), qt.HasLen, 1)
 	}
+	healed := time.Now()
+	setLinks(t, links, link.Faults{})
 	for _, entry := range running.Entries() {
 		await(t, entry.ID+" to find the other half", func() bool { return len(connectedTo(t, running, entry.ID)) == 3 })
 	}
@@ -129,6 +117,65 @@
 	qt.Check(t, during.count(outcome.Served)*10 > len(during.outcomes)*9, qt.IsTrue)
 }
 
+// relayBetweenHalves starts the entry hosts of a fleet of four anew, so that each reaches those of the other half
+// only through a relay: the halves read host lists of their own, with the relays as the addresses of the others.
+func relayBetweenHalves(t *testing.T, running *fleet.Fleet) []*link.Link {
+	t.Helper()
+	ctx := t.Context()
+	list, err := running.StartHostList(ctx, "hosts-of-second-half")
+	qt.Assert(t, err, qt.IsNil)
+	for _, endpoint := range running.Endpoints() {
+		qt.Assert(t, running.PutHostInto(ctx, list, endpoint), qt.IsNil)
+	}
+	second := restart(t, running, running.Entries()[2:], "--host-list-url", list)
+	var links []*link.Link
+	for _, entry := range second {
+		qt.Assert(t, running.PutHostInto(ctx, list, entry), qt.IsNil)
+		between, err := running.StartRelay(ctx, "link-"+entry.ID, entry.PeerAddress)
+		qt.Assert(t, err, qt.IsNil)
+		links = append(links, between)
+		entry.PeerAddress = between.Address()
+		qt.Assert(t, running.PutHost(ctx, entry), qt.IsNil)
+	}
+	for _, entry := range restart(t, running, running.Entries()[:2]) {
+		between, err := running.StartRelay(ctx, "link-"+entry.ID, entry.PeerAddress)
+		qt.Assert(t, err, qt.IsNil)
+		links = append(links, between)
+		entry.PeerAddress = between.Address()
+		qt.Assert(t, running.PutHostInto(ctx, list, entry), qt.IsNil)
+	}
+	qt.Assert(t, running.WaitReady(ctx), qt.IsNil)
+	for _, entry := range running.Entries() {
+		await(t, entry.ID+" to be connected with all", func() bool { return len(connectedTo(t, running, entry.ID)) == 3 })
+	}
+	return links
+}
+
+// restart stops entry hosts and starts them anew with some more arguments; it returns them with their new addresses.
+func restart(t *testing.T, running *fleet.Fleet, entries []host.Host, arguments ...string) []host.Host {
+	t.Helper()
+	ids := make(map[string]bool)
+	for _, entry := range entries {
+		ids[entry.ID] = true
+		qt.Assert(t, running.Terminate(entry.ID), qt.IsNil)
+		qt.Assert(t, running.StartEntry(t.Context(), entry, arguments...), qt.IsNil)
+	}
+	var started []host.Host
+	for _, entry := range running.Entries() {
+		if ids[entry.ID] {
+			started = append(started, entry)
+		}
+	}
+	return started
+}
+
+func setLinks(t *testing.T, links []*link.Link, faults link.Faults) {
+	t.Helper()
+	for _, between := range links {
+		qt.Assert(t, between.Set(t.Context(), faults), qt.IsNil)
+	}
+}
+
 // connectedTo returns the peers to which a host has a link.
 func connectedTo(t *testing.T, running *fleet.Fleet, id string) []string {
 	t.Helper()
--- a/tests/fleet/control.go
+++ b/tests/fleet/control.go
@@ -26,7 +26,7 @@
 
 // PutHost adds a host to the platform's list or replaces it.
 func (f *Fleet) PutHost(ctx context.Context, h host.Host) error {
-	return post(ctx, f.PlatformURL()+"/standin/hosts", h)
+	return f.PutHostInto(ctx, f.PlatformURL(), h)
 }
 
 // RemoveHost takes a host off the platform's list.
--- a/tests/fleet/starter.go
+++ b/tests/fleet/starter.go
@@ -39,20 +39,29 @@
 }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	p, err := f.launch(PlatformName, "standin", nil, "platform", "--listen", anyPort)
+	address, err := f.launchPlatform(ctx, PlatformName)
 	if err != nil {
 		return err
 	}
-	var ready standinReady
-	if err := p.Ready(ctx, &ready); err != nil {
-		return err
-	}
-	f.platform = ready.Address
+	f.platform = address
 	f.store = storer.New(f.PlatformURL())
 	f.applier = applier.New(f.store, f.clock)
 	return nil
 }
 
+// launchPlatform starts a platform stand-in under a name and returns its address.
+func (f *Fleet) launchPlatform(ctx context.Context, name string) (string, error) {
+	p, err := f.launch(name, "standin", nil, "platform", "--listen", anyPort)
+	if err != nil {
+		return "", err
+	}
+	var ready standinReady
+	if err := p.Ready(ctx, &ready); err != nil {
+		return "", err
+	}
+	return ready.Address, nil
+}
+
 // startEndpoints starts all endpoint processes before it waits for any.
 func (f *Fleet) startEndpoints(ctx context.Context) error {
 	var started []*process.Process
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -3,6 +3,11 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p out
+# A line of KNOWN-RED.txt starts with the name of a test and a space; all else on it is for the reader.
+if grep -vE '^Test[A-Za-z0-9_/]* .' KNOWN-RED.txt; then
+	echo "KNOWN-RED.txt: each line must start with the name of a test and a space"
+	exit 1
+fi
 log=out/test.log
 : >"$log"
 status=0
@@ -12,15 +17,14 @@
 done
 [ "$status" -eq 0 ] && exit 0
 
-# A line of KNOWN-RED.txt starts with the name of a test; all else on it is for the reader.
 failed=$(sed -n 's/^--- FAIL: \([^ ]*\).*/\1/p' "$log" | sort -u)
 unknown=0
 if [ -z "$failed" ] || grep -qE '^(FAIL|panic:).*(build failed|setup failed|panic)|^panic:' "$log"; then
 	unknown=1
 fi
 for name in $failed; do
-	if grep -qE "^$name( |$)" KNOWN-RED.txt 2>/dev/null; then
-		echo "known red: $(grep -E "^$name( |$)" KNOWN-RED.txt)"
+	if grep -q "^$name " KNOWN-RED.txt; then
+		echo "known red: $(grep "^$name " KNOWN-RED.txt)"
 	else
 		echo "unexpected failure: $name"
 		unknown=1
