Deliver frames in order between the coordinators under test

The fake network of the test started a goroutine for each frame, so that the holding which a host tells a new owner could arrive after the owner had lent to it and set what is lent to nothing. A link keeps the order of its frames, and a new link starts anew; the product was not at fault. Change: the fake keeps the order of the frames from one host to another. The linter also runs beside another run of it.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 lint: $(TOOLS)/golangci-lint $(TOOLS)/gofumpt ## Check format and lint rules
 	@unformatted=$$($(TOOLS)/gofumpt -l $(MODULES)); \
 	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
-	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(TOOLS)/golangci-lint run ./...) || exit 1; done
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(TOOLS)/golangci-lint run --allow-parallel-runners ./...) || exit 1; done
 
 .PHONY: format
 format: $(TOOLS)/gofumpt ## Format every Go file
--- a/poplarhook/services/coordinator/coordinator_test.go
+++ b/poplarhook/services/coordinator/coordinator_test.go
@@ -26,13 +26,21 @@
 )
 
 // network joins coordinators in one process; a cut host hears and says nothing.
+//
+// As on a link, the frames of one host to another arrive in the order in which they were sent.
 type network struct {
+	ctx   context.Context
 	mu    sync.Mutex
 	hosts map[string]*coordinator.Coordinator
 	cut   map[string]bool
 	owner map[group.Group]string
+	links map[[2]string]chan *wire.Frame
+	ends  sync.WaitGroup
 }
 
+// queued is how many frames a link holds back at most.
+const queued = 4096
+
 // linkOf is one host's side of the network.
 type linkOf struct {
 	network *network
@@ -41,16 +49,41 @@
 
 func (l linkOf) Send(to string, frame *wire.Frame) error {
 	l.network.mu.Lock()
-	receiver := l.network.hosts[to]
-	lost := l.network.cut[l.self] || l.network.cut[to]
-	l.network.mu.Unlock()
-	if receiver == nil {
+	defer l.network.mu.Unlock()
+	if l.network.hosts[to] == nil {
 		return linker.ErrNotConnected
 	}
-	if !lost {
-		go receiver.Receive(time.Now(), l.self, frame)
+	if l.network.cut[l.self] || l.network.cut[to] {
+		return nil
+	}
+	select {
+	case l.network.link(l.self, to) <- frame:
+		return nil
+	default:
+		return linker.ErrQueueFull
+	}
+}
+
+// link returns the queue of frames from one host to another. The caller holds the lock.
+func (n *network) link(from, to string) chan<- *wire.Frame {
+	key := [2]string{from, to}
+	if frames, ok := n.links[key]; ok {
+		return frames
 	}
-	return nil
+	frames := make(chan *wire.Frame, queued)
+	n.links[key] = frames
+	receiver := n.hosts[to]
+	n.ends.Go(func() {
+		for {
+			select {
+			case <-n.ctx.Done():
+				return
+			case frame := <-frames:
+				receiver.Receive(time.Now(), from, frame)
+			}
+		}
+	})
+	return frames
 }
 
 func (n *network) Owner(_ time.Time, g group.Group) string {
@@ -90,12 +123,14 @@
 // newNetwork starts coordinators of the hosts in the home region, the first of which owns both groups.
 func newNetwork(t *testing.T, hosts ...string) *network {
 	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
 	n := &network{
+		ctx:   ctx,
 		hosts: make(map[string]*coordinator.Coordinator),
 		cut:   make(map[string]bool),
 		owner: map[group.Group]string{home: hosts[0], away: hosts[0]},
+		links: make(map[[2]string]chan *wire.Frame),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	var ends []<-chan error
 	for _, id := range hosts {
 		c := coordinator.New(id, home.Region, linkOf{n, id}, places{}, n, allProved{},
@@ -116,6 +151,7 @@
 	}
 	t.Cleanup(func() {
 		cancel()
+		n.ends.Wait()
 		for _, end := range ends {
 			if err := <-end; err != nil {
 				t.Error(err)
