Let work that has waited go beyond slots + 1 at warm endpoints

Cause: what is lent of an endpoint includes credits, requests, answers and releases on their way. Ruled out: the control budget (none refused) and too few hedges. Change: a right that has waited 4 ms may be granted an endpoint up to 4 requests a slot. Capacity.Most carries that bound; it equals the limit for cold endpoints, on the ramp, and until cold credits are over.

--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -52,10 +52,12 @@
 	starved pair
 	// spare holds cold endpoints that can bear one more request.
 	spare pair
+	// beyond holds warm endpoints at their limit that may take a right that has waited for long.
+	beyond pair
 }
 
 func (c *choice) isEmpty() bool {
-	return c.warm[0] == nil && c.trickle[0] == nil && c.spare[0] == nil
+	return c.warm[0] == nil && c.trickle[0] == nil && c.spare[0] == nil && c.beyond[0] == nil
 }
 
 // pick keeps urgent work off cold endpoints while a warm one is free, unless they would never warm up.
@@ -75,9 +77,13 @@
 func (l *Lender) choose(now time.Time) choice {
 	var c choice
 	coldAllowed := now.Before(l.coldUntil)
+	impatient := l.hasImpatient(now)
 	for _, e := range l.ordered {
 		switch {
 		case !e.isFree(now):
+			if impatient && e.isFreeBeyond(now) {
+				c.beyond.add(e)
+			}
 		case !e.cold:
 			c.warm.add(e)
 		case !coldAllowed:
@@ -107,8 +113,11 @@
 			break
 		}
 		var chosen *endpoint
-		key, _, ok := l.waiting.Best(func(_ right, excluded string, urgency int) bool {
-			chosen = c.pick(excluded, urgency)
+		key, _, ok := l.waiting.Best(func(_ right, asked wanted, urgency int) bool {
+			chosen = c.pick(asked.excluded, urgency)
+			if chosen == nil && l.isImpatient(now, asked) {
+				chosen = c.beyond.pick(asked.excluded)
+			}
 			return chosen != nil
 		})
 		if !ok {
--- a/lib/lender/endpoint.go
+++ b/lib/lender/endpoint.go
@@ -12,8 +12,10 @@
 type endpoint struct {
 	id    string
 	limit int
-	cold  bool
-	open  bool
+	// most is the limit for rights that have waited for long.
+	most int
+	cold bool
+	open bool
 	// listed says that the capacities name the endpoint.
 	listed bool
 	// total is what all loans sum up to, orphaned what lost borrowers have of it.
@@ -40,6 +42,7 @@
 		e.coldSince = now
 	}
 	e.limit = max(c.Limit, 0)
+	e.most = max(c.Most, e.limit)
 	e.cold = c.Cold
 	e.open = c.Open
 	e.listed = true
@@ -48,6 +51,7 @@
 // unlist closes the endpoint until a capacity names it again.
 func (e *endpoint) unlist() {
 	e.limit = 0
+	e.most = 0
 	e.open = false
 	e.listed = false
 }
@@ -60,8 +64,13 @@
 	return e.open && e.total < e.limit
 }
 
+// isFreeBeyond reports whether a warm endpoint has room for a right that has waited for long.
+func (e *endpoint) isFreeBeyond(now time.Time) bool {
+	return !e.cold && e.open && e.total < e.most && !now.Before(e.coldEnds)
+}
+
 func (e *endpoint) isOverLent() bool {
-	return e.total > 0 && (!e.open || e.total > e.limit)
+	return e.total > 0 && (!e.open || e.total > e.most)
 }
 
 func (e *endpoint) isUseless() bool {
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -20,39 +20,56 @@
 
 // Lender lends the capacity of a group's endpoints to borrowers, as credits.
 //
-// What is lent of an endpoint never exceeds its limit by a grant. A Lender is
+// What is lent of an endpoint never exceeds its limit by a grant, but for rights that have waited for long:
+// credits on their way use up the limit while slots stand idle, so those may go up to the capacity's Most. A Lender is
 // not safe for concurrent use.
 type Lender struct {
 	coldValidity   time.Duration
 	trickle        time.Duration
 	recallInterval time.Duration
+	patience       time.Duration
 
 	coldUntil time.Time
 	endpoints map[string]*endpoint
 	// ordered holds the endpoints by id, so that one trace has one outcome.
 	ordered  []*endpoint
 	accounts map[string]*account
-	waiting  *waitlist.Waitlist[right, string]
+	waiting  *waitlist.Waitlist[right, wanted]
+	// arrivals holds the rights in the order in which they came; some may wait no longer.
+	arrivals []arrival
 	grants   uint64
 	// excess says that more is lent of some endpoint than it may bear now.
 	excess bool
 }
 
-// right is one demanded right; the waitlist keeps the endpoint it excludes as its value.
+// right is one demanded right.
 type right struct {
 	borrower string
 	sequence uint64
 }
 
+// wanted is what a right asks for.
+type wanted struct {
+	excluded string
+	since    time.Time
+}
+
+// arrival is when a right began to wait.
+type arrival struct {
+	key   right
+	since time.Time
+}
+
 // New returns a Lender that knows no endpoints and may not lend cold ones.
 func New(options ...Option) *Lender {
 	l := &Lender{
 		coldValidity:   ColdValidity,
 		trickle:        defaultTrickle,
 		recallInterval: defaultRecallInterval,
+		patience:       defaultPatience,
 		endpoints:      make(map[string]*endpoint),
 		accounts:       make(map[string]*account),
-		waiting:        waitlist.New[right, string](),
+		waiting:        waitlist.New[right, wanted](),
 	}
 	for _, option := range options {
 		option(l)
@@ -93,7 +110,8 @@
 			repeated = append(repeated, answer)
 			continue
 		}
-		l.waiting.Push(key, d.Excluded, d.Urgency, d.Until)
+		l.waiting.Push(key, wanted{excluded: d.Excluded, since: now}, d.Urgency, d.Until)
+		l.arrivals = append(l.arrivals, arrival{key: key, since: now})
 		a.waiting++
 	}
 	return l.finish(now, append(repeated, l.answer(now)...))
@@ -221,6 +239,22 @@
 	return l.waiting.Len() > a.waiting
 }
 
+// hasImpatient reports whether some right has waited for longer than the patience.
+func (l *Lender) hasImpatient(now time.Time) bool {
+	for len(l.arrivals) > 0 {
+		first := l.arrivals[0]
+		if asked, ok := l.waiting.Get(first.key); ok && asked.since.Equal(first.since) {
+			return l.isImpatient(now, asked)
+		}
+		l.arrivals = l.arrivals[1:]
+	}
+	return false
+}
+
+func (l *Lender) isImpatient(now time.Time, asked wanted) bool {
+	return now.Sub(asked.since) >= l.patience
+}
+
 func (l *Lender) endpoint(id string) *endpoint {
 	e, ok := l.endpoints[id]
 	if ok {
@@ -257,5 +291,5 @@
 }
 
 func (l *Lender) expire(now time.Time) {
-	l.waiting.Expire(now, func(key right, _ string) { l.account(key.borrower).waiting-- })
+	l.waiting.Expire(now, func(key right, _ wanted) { l.account(key.borrower).waiting-- })
 }
--- a/lib/lender/options.go
+++ b/lib/lender/options.go
@@ -8,6 +8,7 @@
 const (
 	defaultTrickle        = 50 * time.Millisecond
 	defaultRecallInterval = 5 * time.Millisecond
+	defaultPatience       = 4 * time.Millisecond
 )
 
 // Option changes a setting of a Lender.
@@ -23,6 +24,11 @@
 	return func(l *Lender) { l.trickle = d }
 }
 
+// WithPatience sets how long a right waits for an endpoint below its limit before it may go beyond that.
+func WithPatience(d time.Duration) Option {
+	return func(l *Lender) { l.patience = d }
+}
+
 // WithRecallInterval sets the least time between two recalls from one borrower.
 func WithRecallInterval(d time.Duration) Option {
 	return func(l *Lender) { l.recallInterval = d }
--- a/lib/warmer/options.go
+++ b/lib/warmer/options.go
@@ -12,6 +12,8 @@
 	defaultLeavingDoubt     = 10 * time.Second
 	// coldLimit is how many requests a cold endpoint may have in flight.
 	coldLimit = 1
+	// mostPerSlot is how many requests for each slot work that has waited for long may bring a warm endpoint to.
+	mostPerSlot = 4
 	// maxLimit bounds the ramp whatever the number of slots.
 	maxLimit = 256
 )
--- a/lib/warmer/warmer.go
+++ b/lib/warmer/warmer.go
@@ -218,6 +218,15 @@
 	return w.limit
 }
 
+// Most returns how many requests work that has waited for long may bring the endpoint to; it is the Limit while that is reduced.
+func (w *Warmer) Most(now time.Time, slots int) int {
+	limit := w.Limit(now, slots)
+	if !w.warm || limit < w.ceiling {
+		return limit
+	}
+	return max(limit, min(mostPerSlot*slots, maxLimit))
+}
+
 // Cold reports whether the endpoint gets single requests only.
 func (w *Warmer) Cold(time.Time) bool {
 	return !w.warm
@@ -233,6 +242,7 @@
 	return capacity.Capacity{
 		Endpoint: endpoint,
 		Limit:    w.Limit(now, slots),
+		Most:     w.Most(now, slots),
 		Cold:     w.Cold(now),
 		Open:     w.Open(now),
 	}
--- a/lib/warmer/warmer_test.go
+++ b/lib/warmer/warmer_test.go
@@ -63,6 +63,17 @@
 	c.Assert(w.Limit(at(41), 4*slots), qt.Equals, 4)
 }
 
+func TestOnlyFullyWarmEndpointsBearMore(t *testing.T) {
+	c := qt.New(t)
+	w := listed()
+	c.Assert(w.Capacity(at(0), "a", slots).Most, qt.Equals, 1)
+	w = warmed()
+	c.Assert(w.Capacity(at(1000), "a", slots).Limit, qt.Equals, slots+1)
+	c.Assert(w.Capacity(at(1000), "a", slots).Most, qt.Equals, 4*slots)
+	w.ConnectionReset(at(1000))
+	c.Assert(w.Capacity(at(1000), "a", slots).Most, qt.Equals, w.Limit(at(1000), slots))
+}
+
 func TestDoubtIsCold(t *testing.T) {
 	tests := []struct {
 		reason string
