Take nothing older than was heard when a host starts, and prove it

Cause, of the empty proof: TestConfigurationNeverReverts could not fail. The stale store shows each object as before its last write, and documents are written once, so it showed an older index without its documents and nothing could be assembled from it. A running host watches from the version it has reached, so it never saw the older index. No peer ran less than the others, so no older configuration was ever sent. Cause, of the fault: a host that started took the first configuration sent to it once it had heard its peers, also one below what it had heard.

Change in the tests: the documents are written twice, so that the stale store shows a whole older configuration, which is checked. TestStartingHostTakesNothingOlderThanItHasHeard freezes the peers after they were heard, so that only older ones are on offer. No earlier check is eased. Change in the code: a host that runs nothing takes nothing older than the highest revision heard of a live peer, be it from a peer, the store or a change accepted through it. The model has the same rule; what was the finding FOUND_PEER_MAY_SEND_LESS_THAN_HEARD is now the seeded fault SEED_TAKE_LESS_THAN_HEARD, and its assertion holds for every message.

--- a/poplarhook/services/relayer/relayer.go
+++ b/poplarhook/services/relayer/relayer.go
@@ -174,10 +174,15 @@
 	}
 }
 
-// apply adopts the configuration if it is newer and tells the listeners.
+// apply adopts the configuration if it is newer and tells the listeners. A host that starts takes
+// none that is older than what it has heard, whoever sends it; later ones may rise step by step.
 func (r *Relayer) apply(now time.Time, s snapshot.Snapshot, encoded []byte) bool {
 	r.applying.Lock()
 	defer r.applying.Unlock()
+	if r.adopter.Revision() == 0 && s.Revision < r.highestHeard() {
+		r.count("snapshot_behind")
+		return false
+	}
 	if !r.adopter.Offer(now, s) {
 		return false
 	}
--- a/poplarhook/services/relayer/relayer_test.go
+++ b/poplarhook/services/relayer/relayer_test.go
@@ -111,6 +111,31 @@
 	w.awaitRevision(3)
 }
 
+func TestStartingHostRefusesLessThanItHasHeard(t *testing.T) {
+	w := settle(t, "r0-a", "r0-b")
+	_, err := w.hosts["r0-a"].Offer(snapshot.Snapshot{Revision: 3})
+	w.c.Assert(err, qt.IsNil)
+	w.awaitRevision(3)
+	w.store.setCut(true, "r1-a")
+	w.setNoRequests(true)
+	w.start("r1-a")
+	n := w.hosts["r1-a"]
+	w.await(func() bool { return n.counted("request_lost") > 0 }, "a request for what the peers run")
+	n.Handle("r0-b", &wire.Frame{Body: &wire.Frame_SnapshotReply{
+		SnapshotReply: &wire.SnapshotReply{Revision: 2, SnapshotJson: []byte(`{"revision":2}`)},
+	}})
+	adopted, err := n.Offer(snapshot.Snapshot{Revision: 2})
+	w.c.Assert(err, qt.IsNil)
+	w.c.Check(adopted, qt.IsFalse)
+	_, ready := n.Current()
+	w.c.Check(ready, qt.IsFalse)
+	w.setNoRequests(false)
+	w.awaitRevision(3)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w.c.Check(n.applied, qt.DeepEquals, []int64{3})
+}
+
 func TestRelaySendsToItsRegionUnasked(t *testing.T) {
 	w := settle(t, fleet...)
 	relays, _ := w.relays()
--- a/poplarhook/services/relayer/world_test.go
+++ b/poplarhook/services/relayer/world_test.go
@@ -329,7 +329,11 @@
 	if to == nil || !n.world.joined(n.id, hostID) {
 		return errors.New("no link")
 	}
-	if n.world.noRequests && frame.GetSnapshotRequest() != nil || n.world.noReplies && frame.GetSnapshotReply() != nil {
+	if n.world.noRequests && frame.GetSnapshotRequest() != nil {
+		n.count("request_lost")
+		return nil
+	}
+	if n.world.noReplies && frame.GetSnapshotReply() != nil {
 		return nil
 	}
 	self := n.roster.Self()
--- a/spec/configuration.pml
+++ b/spec/configuration.pml
@@ -195,10 +195,11 @@
 
 /* A host that starts goes on from what the others run. */
 #define AS_NEW_AS_PEERS(h) (host[h].revision >= host[h].floor)
-#ifdef FOUND_PEER_MAY_SEND_LESS_THAN_HEARD
-#define MESSAGE_AS_NEW(h) AS_NEW_AS_PEERS(h)
+/* It takes nothing older than it has heard, while one that runs something may rise step by step. */
+#ifdef SEED_TAKE_LESS_THAN_HEARD
+#define TAKES(r, h) (r > host[h].revision)
 #else
-#define MESSAGE_AS_NEW(h) true
+#define TAKES(r, h) (r > host[h].revision && (host[h].revision > 0 || r >= host[h].heard))
 #endif
 #define MESSAGE(r) (r <= version && inforce[r])
 #if HOSTS > 2
@@ -226,9 +227,9 @@
 		adopt(h, version - 2);
 		assert(AS_NEW_AS_PEERS(h)) }
 	/* receive: a configuration of a peer, perhaps one that was long on its way */
-	:: d_step { OPEN(h) && MESSAGE(1) && 1 > host[h].revision -> adopt(h, 1); assert(MESSAGE_AS_NEW(h)) }
-	:: d_step { OPEN(h) && MESSAGE(2) && 2 > host[h].revision -> adopt(h, 2); assert(MESSAGE_AS_NEW(h)) }
-	:: d_step { OPEN(h) && MESSAGE(3) && 3 > host[h].revision -> adopt(h, 3) }
+	:: d_step { OPEN(h) && MESSAGE(1) && TAKES(1, h) -> adopt(h, 1); assert(AS_NEW_AS_PEERS(h)) }
+	:: d_step { OPEN(h) && MESSAGE(2) && TAKES(2, h) -> adopt(h, 2); assert(AS_NEW_AS_PEERS(h)) }
+	:: d_step { OPEN(h) && MESSAGE(3) && TAKES(3, h) -> adopt(h, 3); assert(AS_NEW_AS_PEERS(h)) }
 	/* restart */
 	:: d_step { host[h].revision > 0 && restarts < RESTARTS ->
 		restarts++; host[h].revision = 0; host[h].open = false; host[h].heard = 0;
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -33,7 +33,7 @@
 		configuration -DHOSTS=2,-DRELAYS=1,-DRESTARTS=0 SEED_NO_READ_BACK
 		configuration -DPUBLISHERS=0,-DCHANGES=3 SEED_BELIEVE_OLDER_INDEX
 		configuration -DPUBLISHERS=0,-DCHANGES=3 SEED_ADOPT_BEFORE_PEERS_ARE_HEARD
-		configuration -DPUBLISHERS=0,-DCHANGES=3 FOUND_PEER_MAY_SEND_LESS_THAN_HEARD
+		configuration -DPUBLISHERS=0,-DCHANGES=3 SEED_TAKE_LESS_THAN_HEARD
 		once -DREQUESTS=1 SEED_HEDGE_ONCE_ONLY
 		once -DREQUESTS=1 SEED_RETRY_AFTER_PARTIAL_WRITE
 		once -DREQUESTS=1 SEED_LATE_IS_NOT_RUN
@@ -86,7 +86,7 @@
 	case $verdict in
 	holds | caught) return 0 ;;
 	esac
-	echo "spec: $model $options: wanted ${want/#[SF]*/a caught fault}, the checker says:" >&2
+	echo "spec: $model $options: wanted ${want/#S*/a caught fault}, the checker says:" >&2
 	tail -20 "$work/pan.log" >&2
 	return 1
 }
@@ -101,7 +101,7 @@
 
 # Every seed in a model is checked.
 for model in lease configuration once; do
-	for seed in $(grep -oE '(SEED|FOUND)_[A-Z_]+' "$model.pml" | sort -u); do
+	for seed in $(grep -oE 'SEED_[A-Z_]+' "$model.pml" | sort -u); do
 		checks | grep -q "^$model .* $seed\$" || { echo "spec: $seed of $model.pml is not checked" >&2; exit 1; }
 	done
 done
--- a/tests/failures/configuration_test.go
+++ b/tests/failures/configuration_test.go
@@ -11,8 +11,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"poplarhook.example/lib/assembler"
 	"poplarhook.example/lib/class"
 	"poplarhook.example/lib/document"
+	"poplarhook.example/lib/index"
+	"poplarhook.example/lib/storer"
 	"poplarhook.example/tests/deployment"
 	"poplarhook.example/tests/fleet"
 )
@@ -26,6 +29,10 @@
 		Revision int64    `json:"revision"`
 		ZonesOut []string `json:"zones_out"`
 	} `json:"snapshot"`
+	Members []struct {
+		ID       string `json:"host_id"`
+		Revision int64  `json:"revision"`
+	} `json:"members"`
 }
 
 func revisionOf(t *testing.T, running *fleet.Fleet, id string) int64 {
@@ -47,19 +54,22 @@
 	return time.Since(from)
 }
 
-// An accepted change stays in force while the store shows an older index, and hosts that start while the store
-// is out learn it from their peers.
+// An accepted change stays in force while the store shows an older index and a peer sends an older configuration,
+// and hosts that start while the store is out learn it from their peers.
 func TestConfigurationNeverReverts(t *testing.T) {
 	running := start(t, regions(), fleet.WithEntries(5), fleet.WithEntryArguments("--watch-wait", "500ms"))
 	l := offer(t, running, 200, running.EntryAddresses()[2:], zoneMix()...)
 	l.awaitServed(t, 200)
 	qt.Assert(t, running.ZoneOut(t.Context(), "louna-b"), qt.IsNil)
+	awaitRevision(t, running, 2)
+	older := dumpedSnapshot(t, running, running.Entries()[0].ID)
 	qt.Assert(t, running.ZoneOut(t.Context(), "pohja-b"), qt.IsNil)
 	accepted := time.Now()
 	took := awaitRevision(t, running, 3)
 	qt.Check(t, took <= configurationAim, qt.IsTrue, qt.Commentf("in force everywhere after %v", took))
 
-	controlPlatform(t, running, platformFaults{Stale: new(true)})
+	startLaggard(t, running, 2, older)
+	showStale(t, running)
 	restarted := running.Entries()[:2]
 	for _, entry := range restarted {
 		qt.Assert(t, running.Kill(entry.ID), qt.IsNil)
@@ -83,6 +93,88 @@
 	qt.Check(t, f.startedAt(idsInZone(running, "pohja-b", "louna-b"), accepted.Add(few), time.Now()), qt.Equals, 0)
 }
 
+// A host that starts beside a peer that runs less, with a store that shows less, takes neither: it waits for the
+// peers that it has heard running more, though these are frozen.
+func TestStartingHostTakesNothingOlderThanItHasHeard(t *testing.T) {
+	running := start(t, regions(), fleet.WithEntries(4), fleet.WithEntryArguments("--watch-wait", "500ms"))
+	qt.Assert(t, running.ZoneOut(t.Context(), "louna-b"), qt.IsNil)
+	awaitRevision(t, running, 2)
+	older := dumpedSnapshot(t, running, running.Entries()[0].ID)
+	qt.Assert(t, running.ZoneOut(t.Context(), "pohja-b"), qt.IsNil)
+	awaitRevision(t, running, 3)
+	startLaggard(t, running, 2, older)
+	showStale(t, running)
+
+	starting, peers := running.Entries()[0], running.Entries()[1:]
+	qt.Assert(t, running.Kill(starting.ID), qt.IsNil)
+	// The wait for peers is longer than by default, so that they are frozen before it ends.
+	const wait = 2 * time.Second
+	from := time.Now()
+	qt.Assert(t, running.StartEntry(t.Context(), starting, "--heartbeat-timeout", wait.String()), qt.IsNil)
+	starting = running.Entries()[0]
+	await(t, "every peer to be heard", func() bool {
+		checkNotOlder(t, running, starting.AdminAddress, from)
+		return len(heardAt(t, running, starting.AdminAddress, 3)) == len(peers)
+	})
+	for _, peer := range peers {
+		qt.Assert(t, running.Freeze(peer.ID), qt.IsNil)
+	}
+	for time.Since(from) < wait+window {
+		checkNotOlder(t, running, starting.AdminAddress, from)
+	}
+	qt.Check(t, heardAt(t, running, starting.AdminAddress, 2), qt.DeepEquals, []string{laggardID})
+	for _, peer := range peers {
+		qt.Assert(t, running.Thaw(peer.ID), qt.IsNil)
+	}
+	checkStart(t, running, starting.ID)
+	awaitRevision(t, running, 3)
+	checkRevisionFor(t, running, window)
+}
+
+// checkNotOlder checks that a host that started at a time runs nothing or the accepted revision.
+func checkNotOlder(t *testing.T, running *fleet.Fleet, admin string, from time.Time) {
+	t.Helper()
+	revision := dumpedRevision(t, running, admin)
+	qt.Assert(t, revision == 0 || revision == 3, qt.IsTrue, qt.Commentf("revision %d after %v", revision, time.Since(from)))
+}
+
+// heardAt returns the other hosts that a host has heard running a revision.
+func heardAt(t *testing.T, running *fleet.Fleet, admin string, revision int64) []string {
+	t.Helper()
+	var ids []string
+	for _, m := range dumpedState(t, running, admin).Members {
+		if m.Revision == revision {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// showStale makes the store show an older index with the documents that it names: these are written a second time,
+// as the store shows each object as it was before its last write.
+func showStale(t *testing.T, running *fleet.Fleet) {
+	t.Helper()
+	store := storer.New(running.PlatformURL())
+	defer store.Close()
+	documents, err := store.List(t.Context(), "config/documents/")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, documents, qt.Not(qt.HasLen), 0)
+	for _, listed := range documents {
+		found, err := store.Get(t.Context(), listed.Key)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = store.Put(t.Context(), listed.Key, found.Value)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	controlPlatform(t, running, platformFaults{Stale: new(true)})
+	shown, err := store.Get(t.Context(), index.Key)
+	qt.Assert(t, err, qt.IsNil)
+	older, err := assembler.Decode(shown)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = assembler.New(store).Assemble(t.Context(), older)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, older.Revision, qt.Equals, int64(2))
+}
+
 // checkStart waits until a host that has just started is ready and checks that it never ran less than the others.
 func checkStart(t *testing.T, running *fleet.Fleet, id string) {
 	t.Helper()
@@ -100,8 +192,13 @@
 	}
 }
 
-// dumpedRevision asks a host itself, which takes less time than poplarctl.
 func dumpedRevision(t *testing.T, running *fleet.Fleet, admin string) int64 {
+	t.Helper()
+	return dumpedState(t, running, admin).Snapshot.Revision
+}
+
+// dumpedState asks a host itself, which takes less time than poplarctl.
+func dumpedState(t *testing.T, running *fleet.Fleet, admin string) runs {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+admin+"/debug/state", nil)
 	qt.Assert(t, err, qt.IsNil)
@@ -111,7 +208,7 @@
 	defer response.Body.Close()
 	var dumped runs
 	qt.Assert(t, json.NewDecoder(response.Body).Decode(&dumped), qt.IsNil)
-	return dumped.Snapshot.Revision
+	return dumped
 }
 
 // checkRevisionFor checks for some time that no host that is ready runs less than the accepted revision.
