See the loss of a third of the hosts fail, and check that ownership moves

Cause: TestLossOfAThirdOfTheHosts had never been seen failing. Two faults of the recovery were seeded, each built, run and reverted. Hosts that never bind alone: red, 240 of 1995 requests disturbed (12 %, allowed are 5 %). Hosts that never count as lost (silence allowed 60 times longer): green with 0 of 2006 disturbed, as all bound alone, p99 131 ms later than 5 s. So the test did not see whether ownership moves. Change: after the loss each host left must follow an owner that lives within 5 s. `ownerAt` is taken out of `ownerOf`, which asks as before. Before: the second fault green. After: it is red ("waited 4.99s in vain for another owner at entry-1"); without a fault three runs green, 0 of 1993, 1995 and 2000 disturbed, p99 15 to 19 ms later than 5 s; once each, green: TestFreezeOfAThirdOfTheHosts, TestColdEndpointsBearTheirLoad, which use `ownerOf` too. Times on a busy machine.

--- a/tests/failures/cold_test.go
+++ b/tests/failures/cold_test.go
@@ -169,20 +169,24 @@
 // ownerOf returns the entry host that owns the first group, as a live host knows it.
 func ownerOf(t *testing.T, running *fleet.Fleet) string {
 	t.Helper()
-	var entries []host.Host
 	var owner string
 	await(t, "an owner that lives", func() bool {
-		entries = running.Entries()
-		var dumped struct {
-			Groups []struct {
-				Owner string `json:"owner"`
-			} `json:"groups"`
-		}
-		if err := running.State(t.Context(), entries[0].ID, &dumped); err != nil || len(dumped.Groups) == 0 {
-			return false
-		}
-		owner = dumped.Groups[0].Owner
+		owner = ownerAt(t, running, running.Entries()[0].ID)
 		return owner != ""
 	})
 	return owner
 }
+
+// ownerAt returns the owner of the first group that an entry host knows, empty while it knows none.
+func ownerAt(t *testing.T, running *fleet.Fleet, id string) string {
+	t.Helper()
+	var dumped struct {
+		Groups []struct {
+			Owner string `json:"owner"`
+		} `json:"groups"`
+	}
+	if err := running.State(t.Context(), id, &dumped); err != nil || len(dumped.Groups) == 0 {
+		return ""
+	}
+	return dumped.Groups[0].Owner
+}
--- a/tests/failures/membership_test.go
+++ b/tests/failures/membership_test.go
@@ -1,6 +1,7 @@
 package failures_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -21,12 +22,27 @@
 	running, l, left := startToLose(t)
 	owner := ownerOf(t, running)
 	lost := time.Now()
-	for _, id := range lostWith(running, owner) {
+	killed := lostWith(running, owner)
+	for _, id := range killed {
 		qt.Assert(t, running.Kill(id), qt.IsNil)
 	}
+	for _, entry := range running.Entries() {
+		if !slices.Contains(killed, entry.ID) {
+			awaitOtherOwner(t, running, entry.ID, killed, lost)
+		}
+	}
 	checkRecovery(t, l, lost, left)
 }
 
+// awaitOtherOwner waits until a host follows an owner that is not among the lost, within a few seconds of the loss.
+func awaitOtherOwner(t *testing.T, running *fleet.Fleet, id string, gone []string, lost time.Time) {
+	t.Helper()
+	awaitWithin(t, time.Until(lost.Add(few)), "another owner at "+id, func() bool {
+		owner := ownerAt(t, running, id)
+		return owner != "" && !slices.Contains(gone, owner)
+	})
+}
+
 // A third of the entry hosts is frozen for longer than its peers wait, the owner among them, and goes on.
 func TestFreezeOfAThirdOfTheHosts(t *testing.T) {
 	running, l, left := startToLose(t)
