Remove documents that no revision in the history names

Cause: each change of a document leaves the object of the one before in the store for good. Change: the index lists a replaced document with the version of its object and the revision that replaced it. A later change of a document deletes at most two that are older than the history, each on condition of the listed version, and takes them off the list in its own update.

Conclusion: the store holds the documents of the history and of the teams in force.

--- a/lib/proposal/proposal.go
+++ b/lib/proposal/proposal.go
@@ -15,6 +15,7 @@
 	at       time.Time
 	base     *int64
 	document *document.Document
+	version  int64
 	zoneOut  string
 	zoneIn   string
 }
@@ -40,6 +41,12 @@
 	return p
 }
 
+// WithDocumentVersion returns a copy whose document is stored as an object of the given version.
+func (p Proposal) WithDocumentVersion(version int64) Proposal {
+	p.version = version
+	return p
+}
+
 // ChangeID returns the id of the change.
 func (p Proposal) ChangeID() string {
 	return p.changeID
@@ -90,7 +97,7 @@
 	switch {
 	case p.document != nil:
 		key := index.DocumentKey(p.changeID, p.document.Team)
-		x = x.WithEntry(index.Entry{Team: p.document.Team, Key: key, Revision: revision})
+		x = x.WithEntry(index.Entry{Team: p.document.Team, Key: key, Revision: revision, Version: p.version})
 	case p.zoneOut != "":
 		x = x.WithZoneOut(p.zoneOut)
 	case p.zoneIn != "":
--- a/lib/publisher/attempt.go
+++ b/lib/publisher/attempt.go
@@ -31,7 +31,10 @@
 	// pending is an update whose reply was lost.
 	pending *pending
 	rebases int
-	backoff time.Duration
+	// removed lists the replaced documents that this attempt has removed, once it has tried.
+	removed      []index.Replaced
+	triedRemoval bool
+	backoff      time.Duration
 	// cause is why the last step came to nothing.
 	cause error
 }
@@ -156,7 +159,7 @@
 
 // update makes the one conditional write that is the moment of acceptance.
 func (a *attempt) update(ctx context.Context, current index.Index, version int64) (index.Change, error) {
-	next := a.wanted.ApplyTo(current)
+	next := a.wanted.ApplyTo(current).WithoutReplaced(a.remove(ctx, current)...)
 	value, err := json.Marshal(next)
 	if err != nil {
 		return index.Change{}, errors.Wrap(err, "encoding the index")
@@ -185,6 +188,15 @@
 	return index.Change{}, a.wait(ctx, err)
 }
 
+// remove removes replaced documents once for each change of a document; changes of zones wait for nothing.
+func (a *attempt) remove(ctx context.Context, current index.Index) []index.Replaced {
+	if _, is := a.wanted.Document(); is && !a.triedRemoval {
+		a.triedRemoval = true
+		a.removed = a.publisher.removeReplaced(ctx, current)
+	}
+	return a.removed
+}
+
 func (a *attempt) entry(current index.Index) (index.Entry, bool) {
 	doc, is := a.wanted.Document()
 	if !is {
--- a/lib/publisher/publisher.go
+++ b/lib/publisher/publisher.go
@@ -35,14 +35,17 @@
 	defaultRebases  = 16
 	shortestBackoff = 20 * time.Millisecond
 	longestBackoff  = time.Second
+	// maxRemovals is how many replaced documents one change of a document removes; each lists one more.
+	maxRemovals = 2
 )
 
 var changeIDs = regexp.MustCompile(`^[A-Za-z0-9_-]{8,64}$`)
 
-// Store reads and conditionally writes the objects of the platform's store.
+// Store reads, conditionally writes and deletes the objects of the platform's store.
 type Store interface {
 	Get(ctx context.Context, key string) (object.Object, error)
 	Put(ctx context.Context, key string, value []byte, preconditions ...storer.Precondition) (int64, error)
+	Delete(ctx context.Context, key string, preconditions ...storer.Precondition) error
 }
 
 // Validator checks a document alone, and every document together.
@@ -108,9 +111,11 @@
 		return index.Change{}, err
 	}
 	if doc, is := wanted.Document(); is {
-		if err := p.writeDocument(ctx, wanted, doc); err != nil {
+		version, err := p.writeDocument(ctx, wanted, doc)
+		if err != nil {
 			return index.Change{}, err
 		}
+		wanted = wanted.WithDocumentVersion(version)
 	}
 	a := attempt{publisher: p, wanted: wanted}
 	return a.run(ctx)
--- a/poplarhook/models/adopter/configuration_property_test.go
+++ b/poplarhook/models/adopter/configuration_property_test.go
@@ -92,6 +92,11 @@
 	return s.write(key, value, header)
 }
 
+// Delete is not reached, as the history of a run stays short.
+func (s *modelStore) Delete(context.Context, string, ...storer.Precondition) error {
+	return storer.ErrUnavailable
+}
+
 func (s *modelStore) write(key string, value []byte, header http.Header) (int64, error) {
 	newest := int64(len(s.versions))
 	if tag := strings.Trim(header.Get("If-Match"), `"`); tag != "" && tag != fmt.Sprint(newest) {
--- a/poplarhook/routers/administrator/administrator_test.go
+++ b/poplarhook/routers/administrator/administrator_test.go
@@ -50,6 +50,10 @@
 	return found, nil
 }
 
+func (m *memory) Delete(context.Context, string, ...storer.Precondition) error {
+	return storer.ErrUnavailable
+}
+
 func (m *memory) Put(_ context.Context, key string, value []byte, _ ...storer.Precondition) (int64, error) {
 	if m.err != nil {
 		return 0, m.err
--- a/tests/operators/operators_test.go
+++ b/tests/operators/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -174,3 +175,22 @@
 		qt.Check(t, strings.Contains(out, x.ChangeID), qt.IsTrue, qt.Commentf("%s", out))
 	}
 }
+
+// TestDocumentsBeyondTheHistoryAreRemoved loses replies at times, so that a removal is tried again by a later change.
+func TestDocumentsBeyondTheHistoryAreRemoved(t *testing.T) {
+	w := newWorld(t)
+	const beyond, lostEvery = 20, 7
+	id := func(i int) string { return fmt.Sprintf("change-%04d", i) }
+	for i := range index.MaxHistory + beyond {
+		if i%lostEvery == 0 {
+			w.set(func(s *storekeeper.Settings) { s.LoseReplies = 1 })
+		}
+		out, code := w.as("kite", i, fmt.Sprintf("config apply ../../samples/kite.yaml --base %d --change-id %s", i, id(i)))
+		qt.Assert(t, code, qt.Equals, 0, qt.Commentf("%s", out))
+	}
+	for i := range index.MaxHistory + beyond {
+		_, found := w.store.Get(index.DocumentKey(id(i), "kite"))
+		// The last change looked at the index before its own.
+		qt.Check(t, found, qt.Equals, i >= beyond-1, qt.Commentf("document of change %d", i))
+	}
+}
