Let the process test's script say all before it is stopped

Cause: TestReadyAndStop was red once: it stops the script right after the first line of output, and the script printed two more lines after that one. Change: the script prints to standard error before the line that says it is ready, and its second line when it is told to stop, which the test still requires. Conclusion: the race was the test's.

--- a/tests/process/process_test.go
+++ b/tests/process/process_test.go
@@ -28,7 +28,7 @@
 func TestReadyAndStop(t *testing.T) {
 	c := qt.New(t)
 	folder := c.TempDir()
-	script := `trap 'exit 0' TERM; echo "{\"address\":\"$WORD\"}"; echo more; echo oops >&2; while :; do sleep 0.05; done`
+	script := `trap 'echo more; exit 0' TERM; echo oops >&2; echo "{\"address\":\"$WORD\"}"; while :; do sleep 0.05; done`
 	p, err := process.Start("shell", "/bin/sh", folder, []string{"WORD=a:1"}, "-c", script)
 	c.Assert(err, qt.IsNil)
 	var line readyLine
