Tell callers when operators have taken out every zone that may serve them

Cause: with a whole region out, a request bound to it was refused as not run with the reason "no endpoint is open", which an endpoint failure gives as well, so that a caller could not tell a planned outage from a fault. Change: where all listed endpoints of the permitted regions stand in zones that are out, the reason says so; status, outcome and Retry-After are as before.

--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -59,7 +59,19 @@
 		return binding.Binding{}, refused
 	}
 	c.count("no_open_endpoint")
-	return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint is open").WithRetryAfter(retryAfter)
+	return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, c.whyClosed(w.Groups)).WithRetryAfter(retryAfter)
+}
+
+// whyClosed tells why no endpoint of the groups is open.
+func (c *Coordinator) whyClosed(groups []group.Group) string {
+	for _, g := range groups {
+		for _, endpoint := range c.places.Endpoints(g) {
+			if !c.places.IsZoneOut(endpoint.AvailabilityZone) {
+				return "no endpoint is open"
+			}
+		}
+	}
+	return "operators have taken out every availability zone that may serve the request"
 }
 
 // patience is until when a request waits for its preferred group before another region helps.
--- a/poplarhook/services/coordinator/coordinator_test.go
+++ b/poplarhook/services/coordinator/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -83,6 +84,21 @@
 
 func (places) Groups() []group.Group { return []group.Group{home, away} }
 
+// closedPlaces lists two leaving endpoints in two availability zones, some of which are out.
+type closedPlaces struct {
+	places
+	out []string
+}
+
+func (closedPlaces) Endpoints(g group.Group) []host.Host {
+	return []host.Host{
+		{ID: "1", Service: g.Service, Region: g.Region, AvailabilityZone: "zone-1", Slots: 2, State: host.StateLeaving},
+		{ID: "2", Service: g.Service, Region: g.Region, AvailabilityZone: "zone-2", Slots: 2, State: host.StateLeaving},
+	}
+}
+
+func (p closedPlaces) IsZoneOut(zone string) bool { return slices.Contains(p.out, zone) }
+
 type allProved struct{}
 
 func (allProved) Proved(host.Host) bool { return true }
@@ -200,6 +216,26 @@
 	c.Assert(errors.Is(err, refusal.ErrNotRun), quicktest.IsTrue)
 }
 
+func TestReasonWhenNoEndpointIsOpen(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		out  []string
+		want string
+	}{
+		{"every zone out", []string{"zone-1", "zone-2"}, "operators have taken out every availability zone that may serve the request"},
+		{"one zone out, the other leaving", []string{"zone-1"}, "no endpoint is open"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			n := &network{owner: map[group.Group]string{home: "e0"}}
+			refusing := coordinator.New("e0", home.Region, linkOf{n, "e0"}, closedPlaces{out: row.out}, n, allProved{})
+			_, err := bind(t, refusing, time.Second, home)
+			c.Assert(errors.Is(err, refusal.ErrNotRun), quicktest.IsTrue)
+			c.Assert(err, quicktest.ErrorMatches, "not_run: "+row.want)
+		})
+	}
+}
+
 func TestFullRegionSpills(t *testing.T) {
 	c := quicktest.New(t)
 	n := newNetwork(t, "e0")
