--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"poplarhook.example/tests/bencher"
+	"poplarhook.example/tests/choice"
 )
 
 var errFlag = errors.New("invalid flag")
@@ -27,10 +28,13 @@
 	entries   int
 	duration  time.Duration
 	arguments []string
+	// deployment names the user whose deployment the experiment zone runs.
+	deployment string
+	chosen     choice.Choice
 }
 
 func main() {
-	s := settings{bin: "bin", scenarios: "poplarbench/scenarios", results: "out/bench", entries: 6}
+	s := settings{bin: "bin", scenarios: "poplarbench/scenarios", results: "out/bench", entries: 6, deployment: choice.Kite}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := s.parse(os.Args[1:])
 	if err == nil {
@@ -55,6 +59,7 @@
 	parser.UInt64Slice(&s.seeds, "", "seed", "seed of a run; repeat for more (default: 1, 2, 3)")
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
 	parser.Duration(&s.duration, "", "duration", "time of each run in place of its scenario's; 0s keeps it")
+	parser.String(&s.deployment, "", "deployment", "whose deployment --only zone runs, whole: kite or brandstaetter")
 	parser.StringSlice(&s.arguments, "", "entry-argument", "argument for every entry host, such as --entry-argument=--hedge-share=0.1; repeat for more")
 	if err := parser.ParseArgs(arguments); err != nil {
 		return errors.Wrap(err, "reading the arguments")
@@ -65,7 +70,12 @@
 	if s.duration < 0 {
 		return errors.Wrapf(errFlag, "--duration: value %s, allowed: 0s or more", s.duration)
 	}
-	return nil
+	if s.deployment != choice.Kite && s.only != "zone" {
+		return errors.Wrapf(errFlag, "--deployment: value %q, allowed: %s, or another with --only zone", s.deployment, choice.Kite)
+	}
+	var err error
+	s.chosen, err = choice.New(s.deployment)
+	return errors.Wrap(err, "--deployment")
 }
 
 func run(ctx context.Context, s settings) error {
@@ -73,7 +83,10 @@
 	if err != nil {
 		return errors.Wrap(err, "--bin")
 	}
-	options := []bencher.Option{bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...)}
+	options := []bencher.Option{
+		bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...),
+		bencher.WithZoneChoice(s.chosen),
+	}
 	if len(s.policies) > 0 {
 		options = append(options, bencher.WithPolicies(s.policies...))
 	}
--- a/tests/bencher/bencher.go
+++ b/tests/bencher/bencher.go
@@ -15,7 +15,10 @@
 	"poplarhook.example/poplarbench/result"
 	"poplarhook.example/poplarbench/scenario"
 	"poplarhook.example/poplarbench/sender"
+	"poplarhook.example/tests/choice"
+	"poplarhook.example/tests/deployment"
 	"poplarhook.example/tests/fleet"
+	"poplarhook.example/tests/mix"
 )
 
 const (
@@ -39,6 +42,8 @@
 	duration  time.Duration
 	// arguments are handed to every entry host.
 	arguments []string
+	// zoneChoice is what runs while an availability zone leaves and returns.
+	zoneChoice choice.Choice
 }
 
 // Option changes a bencher under construction.
@@ -64,6 +69,11 @@
 	return func(b *Bencher) { b.duration = duration }
 }
 
+// WithZoneChoice sets whose deployment and load are measured while an availability zone leaves and returns.
+func WithZoneChoice(chosen choice.Choice) Option {
+	return func(b *Bencher) { b.zoneChoice = chosen }
+}
+
 // WithEntryArguments hands further arguments to every entry host.
 func WithEntryArguments(arguments ...string) Option {
 	return func(b *Bencher) { b.arguments = append(b.arguments, arguments...) }
@@ -80,6 +90,8 @@
 		policies:  []string{defaultPolicy, "two_choices", "random"},
 		seeds:     []uint64{1, 2, 3},
 		entries:   6,
+
+		zoneChoice: choice.Choice{Name: choice.Kite, Deployment: deployment.Kite(), Mix: mix.Kite()},
 	}
 	for _, option := range options {
 		option(b)
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,7 +11,6 @@
 	"poplarhook.example/poplarbench/aligner"
 	"poplarhook.example/poplarbench/result"
 	"poplarhook.example/poplarbench/scenario"
-	"poplarhook.example/tests/deployment"
 	"poplarhook.example/tests/fleet"
 	"poplarhook.example/tests/spread"
 )
@@ -37,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	load.Mix = b.zoneChoice.Mix
 	var all []result.Result
 	err = b.each(func(seed uint64, policy string) error {
 		measured, err := b.zoneRun(ctx, load.WithSeed(seed), policy)
@@ -44,9 +45,10 @@
 			return err
 		}
 		all = append(all, measured)
-		b.say("zone %s seed %d: served %d of %d, p99 %.1f ms, cold endpoints fell over %d times",
-			policy, seed, measured.Served, measured.Sent, measured.P99MS, measured.FellOver)
-		return b.write(fmt.Sprintf("zone-%s-%d", policy, seed), measured)
+		b.say("zone %s %s seed %d: served %d of %d, p99 %.1f ms, cold endpoints fell over %d times (most in flight at one: %d), late sends %d",
+			b.zoneChoice.Name, policy, seed, measured.Served, measured.Sent, measured.P99MS, measured.FellOver, measured.ColdPeakInFlight, measured.LateSends)
+		b.sayWindows(measured.Windows)
+		return b.write(fmt.Sprintf("zone-%s-%s-%d", b.zoneChoice.Name, policy, seed), measured)
 	})
 	if err != nil {
 		return err
@@ -55,7 +57,7 @@
 }
 
 func (b *Bencher) zoneRun(ctx context.Context, load scenario.Scenario, policy string) (result.Result, error) {
-	running, err := fleet.Start(ctx, b.bin, deployment.Kite(),
+	running, err := fleet.Start(ctx, b.bin, b.zoneChoice.Deployment,
 		fleet.WithEntries(b.entries),
 		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithPolicy(policy),
@@ -102,6 +104,19 @@
 	return running.ZoneIn(ctx, zone)
 }
 
+// sayWindows tells each second's 99th percentile in milliseconds, and what was not served in it.
+func (b *Bencher) sayWindows(windows []result.Window) {
+	seconds := make([]string, 0, len(windows))
+	for _, window := range windows {
+		second := fmt.Sprintf("%.0f", window.P99MS)
+		if unserved := window.Sent - window.Served; unserved > 0 {
+			second += fmt.Sprintf("(-%d)", unserved)
+		}
+		seconds = append(seconds, second)
+	}
+	b.say("  p99 ms of each second (not served): %s", strings.Join(seconds, " "))
+}
+
 func (b *Bencher) zoneTable(duration time.Duration, all []result.Result) error {
 	third := int64(duration / time.Second / 3)
 	phases := []phase{{"before", 0, third - 1}, {"out", third, 2*third - 1}, {"back", 2 * third, 3*third - 1}}
@@ -112,7 +127,8 @@
 			b.phaseRow(table, all, policy, p)
 		}
 	}
-	b.say("\nzone out and back: windows of one second, middle [lowest-highest] of %d seeds, %d entry hosts", len(b.seeds), b.entries)
+	b.say("\nzone out and back, %s: windows of one second, middle [lowest-highest] of %d seeds, %d endpoints, %d entry hosts",
+		b.zoneChoice.Name, len(b.seeds), len(b.zoneChoice.Deployment.Endpoints()), b.entries)
 	_, err := table.WriteTo(b.out)
 	return errors.Wrap(err, "zone")
 }
--- a/tests/demo/main.go
+++ b/tests/demo/main.go
@@ -13,18 +13,14 @@
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
-	"poplarhook.example/poplarbench/scenario"
+	"poplarhook.example/tests/choice"
 	"poplarhook.example/tests/demonstrator"
-	"poplarhook.example/tests/deployment"
-	"poplarhook.example/tests/mix"
 	"poplarhook.example/tests/verdict"
 )
 
 const (
-	kite          = "kite"
-	brandstaetter = "brandstaetter"
-	minDuration   = time.Second
-	maxDuration   = time.Hour
+	minDuration = time.Second
+	maxDuration = time.Hour
 )
 
 var errFlag = errors.New("invalid flag")
@@ -33,11 +29,12 @@
 	duration   time.Duration
 	bin        string
 	deployment string
+	chosen     choice.Choice
 	logs       string
 }
 
 func main() {
-	s := settings{duration: 10 * time.Second, bin: "bin", deployment: kite}
+	s := settings{duration: 10 * time.Second, bin: "bin", deployment: choice.Kite}
 	if err := s.parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(2)
@@ -67,10 +64,9 @@
 	if s.duration < minDuration || s.duration > maxDuration {
 		return errors.Wrapf(errFlag, "--duration: value %s, allowed: %s to %s", s.duration, minDuration, maxDuration)
 	}
-	if s.deployment != kite && s.deployment != brandstaetter {
-		return errors.Wrapf(errFlag, "--deployment: value %q, allowed: %s, %s", s.deployment, kite, brandstaetter)
-	}
-	return nil
+	var err error
+	s.chosen, err = choice.New(s.deployment)
+	return errors.Wrap(err, "--deployment")
 }
 
 // demonstrate keeps the processes' output only when the folder was asked for or something failed.
@@ -85,8 +81,7 @@
 			return verdict.Verdict{}, errors.Wrap(err, "log folder")
 		}
 	}
-	d, load := chosen(s.deployment)
-	shown := demonstrator.New(d, load, bin, logs, os.Stdout, time.Now).Run(ctx, s.duration)
+	shown := demonstrator.New(s.chosen.Deployment, s.chosen.Mix, bin, logs, os.Stdout, time.Now).Run(ctx, s.duration)
 	if !shown.IsGood() {
 		fmt.Fprintln(os.Stderr, "demo: the processes' output is in", logs)
 		return shown, nil
@@ -96,10 +91,3 @@
 	}
 	return shown, nil
 }
-
-func chosen(name string) (deployment.Deployment, []scenario.Entry) {
-	if name == brandstaetter {
-		return deployment.Brandstaetter(), mix.Brandstaetter()
-	}
-	return deployment.Kite(), mix.Kite()
-}
