Let the zone experiment offer a rate of one's own

Cause: the measure at the sizes of today is to run at the rate that the machine bears, and the rate stood only in the scenario file, which all runs share.

--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -31,6 +31,8 @@
 	// deployment names the user whose deployment the experiment zone runs.
 	deployment string
 	chosen     choice.Choice
+	// rate is how many requests a second the experiment zone offers.
+	rate float64
 }
 
 func main() {
@@ -60,6 +62,7 @@
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
 	parser.Duration(&s.duration, "", "duration", "time of each run in place of its scenario's; 0s keeps it")
 	parser.String(&s.deployment, "", "deployment", "whose deployment --only zone runs, whole: kite or brandstaetter")
+	parser.Float64(&s.rate, "", "rate", "requests a second that --only zone offers in place of its scenario's; 0 keeps it")
 	parser.StringSlice(&s.arguments, "", "entry-argument", "argument for every entry host, such as --entry-argument=--hedge-share=0.1; repeat for more")
 	if err := parser.ParseArgs(arguments); err != nil {
 		return errors.Wrap(err, "reading the arguments")
@@ -73,6 +76,12 @@
 	if s.deployment != choice.Kite && s.only != "zone" {
 		return errors.Wrapf(errFlag, "--deployment: value %q, allowed: %s, or another with --only zone", s.deployment, choice.Kite)
 	}
+	if s.rate < 0 {
+		return errors.Wrapf(errFlag, "--rate: value %v, allowed: 0 or more", s.rate)
+	}
+	if s.rate > 0 && s.only != "zone" {
+		return errors.Wrapf(errFlag, "--rate: value %v, allowed: 0, or another with --only zone", s.rate)
+	}
 	var err error
 	s.chosen, err = choice.New(s.deployment)
 	return errors.Wrap(err, "--deployment")
@@ -85,7 +94,7 @@
 	}
 	options := []bencher.Option{
 		bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...),
-		bencher.WithZoneChoice(s.chosen),
+		bencher.WithZoneChoice(s.chosen), bencher.WithZoneRate(s.rate),
 	}
 	if len(s.policies) > 0 {
 		options = append(options, bencher.WithPolicies(s.policies...))
--- a/tests/bencher/bencher.go
+++ b/tests/bencher/bencher.go
@@ -44,6 +44,8 @@
 	arguments []string
 	// zoneChoice is what runs while an availability zone leaves and returns.
 	zoneChoice choice.Choice
+	// zoneRate is that load's requests a second, zero for the scenario's.
+	zoneRate float64
 }
 
 // Option changes a bencher under construction.
@@ -74,6 +76,11 @@
 	return func(b *Bencher) { b.zoneChoice = chosen }
 }
 
+// WithZoneRate sets the requests a second offered while an availability zone leaves and returns; zero keeps the scenario's.
+func WithZoneRate(ratePerS float64) Option {
+	return func(b *Bencher) { b.zoneRate = ratePerS }
+}
+
 // WithEntryArguments hands further arguments to every entry host.
 func WithEntryArguments(arguments ...string) Option {
 	return func(b *Bencher) { b.arguments = append(b.arguments, arguments...) }
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -38,6 +38,9 @@
 		return err
 	}
 	load.Mix = b.zoneChoice.Mix
+	if b.zoneRate > 0 {
+		load = load.WithRate(b.zoneRate)
+	}
 	var all []result.Result
 	err = b.each(func(seed uint64, policy string) error {
 		measured, err := b.zoneRun(ctx, load.WithSeed(seed), policy)
