Replay traces of borrower and lender by one loop

Cause: both replay tests read testdata line by line with the same code (duplicates: lib/borrower/replay_test.go ~ lib/lender/replay_test.go). Change: lib/replayer opens each trace in a subtest and hands over its lines; what is compared of each line is unchanged. The borrower's check that a trace has settings is made at the end of the trace. Seen failing after the change: a stated outcome altered in one trace of each, an empty trace (borrower) and a malformed line (lender) each fail their subtest and name the line.

--- a/lib/borrower/replay_test.go
+++ b/lib/borrower/replay_test.go
@@ -1,11 +1,8 @@
 package borrower_test
 
 import (
-	"bufio"
-	"encoding/json"
 	"flag"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -16,6 +13,7 @@
 	"poplarhook.example/lib/capacity"
 	"poplarhook.example/lib/credit"
 	"poplarhook.example/lib/holding"
+	"poplarhook.example/lib/replayer"
 )
 
 // event is one line of a trace: what happens and the stated outcome.
@@ -134,33 +132,28 @@
 }
 
 func TestReplay(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.jsonl")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(paths) > 0, qt.IsTrue)
-	for _, path := range paths {
-		t.Run(filepath.Base(path), func(t *testing.T) { replay(t, path) })
-	}
+	replayer.Run(t, func(c *qt.C) func(replayer.Line) {
+		var b *borrower.Borrower
+		c.Cleanup(func() { c.Check(b, qt.IsNotNil, qt.Commentf("a trace without settings")) })
+		return func(line replayer.Line) {
+			if b != nil {
+				replay(c, b, line)
+				return
+			}
+			var s settings
+			line.Decode(c, &s)
+			b = s.borrower()
+		}
+	})
 }
 
-func replay(t *testing.T, path string) {
-	c := qt.New(t)
-	file, err := os.Open(path)
-	c.Assert(err, qt.IsNil)
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	c.Assert(lines.Scan(), qt.IsTrue)
-	var s settings
-	c.Assert(json.Unmarshal(lines.Bytes(), &s), qt.IsNil)
-	b := s.borrower()
-	for n := 2; lines.Scan(); n++ {
-		var e event
-		c.Assert(json.Unmarshal(lines.Bytes(), &e), qt.IsNil, qt.Commentf("line %d", n))
-		got := outcome(e.apply(b))
-		want := event{Bound: e.Bound, Demands: e.Demands, Releases: e.Releases, Expired: e.Expired, Refused: e.Refused}
-		c.Assert(got, qt.DeepEquals, want, qt.Commentf("line %d: %s", n, lines.Text()))
-		if e.InFlight != nil {
-			c.Assert(append([]holding.Holding{}, b.InFlight()...), qt.DeepEquals, e.InFlight, qt.Commentf("line %d", n))
-		}
+func replay(c *qt.C, b *borrower.Borrower, line replayer.Line) {
+	var e event
+	line.Decode(c, &e)
+	got := outcome(e.apply(b))
+	want := event{Bound: e.Bound, Demands: e.Demands, Releases: e.Releases, Expired: e.Expired, Refused: e.Refused}
+	c.Assert(got, qt.DeepEquals, want, qt.Commentf("line %d: %s", line.Number, line.Text))
+	if e.InFlight != nil {
+		c.Assert(append([]holding.Holding{}, b.InFlight()...), qt.DeepEquals, e.InFlight, qt.Commentf("line %d", line.Number))
 	}
-	c.Assert(lines.Err(), qt.IsNil)
 }
--- a/lib/lender/replay_test.go
+++ b/lib/lender/replay_test.go
@@ -1,10 +1,6 @@
 package lender_test
 
 import (
-	"bufio"
-	"encoding/json"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -14,6 +10,7 @@
 	"poplarhook.example/lib/credit"
 	"poplarhook.example/lib/demand"
 	"poplarhook.example/lib/lender"
+	"poplarhook.example/lib/replayer"
 )
 
 // event is one line of a trace: what happens and the stated outcome.
@@ -81,33 +78,22 @@
 }
 
 func TestReplay(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.jsonl")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(paths) > 0, qt.IsTrue)
-	for _, path := range paths {
-		t.Run(filepath.Base(path), func(t *testing.T) { replay(t, path) })
-	}
+	replayer.Run(t, func(c *qt.C) func(replayer.Line) {
+		l := lender.New()
+		return func(line replayer.Line) { replay(c, l, line) }
+	})
 }
 
-func replay(t *testing.T, path string) {
-	c := qt.New(t)
-	file, err := os.Open(path)
-	c.Assert(err, qt.IsNil)
-	defer file.Close()
-	l := lender.New()
-	lines := bufio.NewScanner(file)
-	for n := 1; lines.Scan(); n++ {
-		var e event
-		c.Assert(json.Unmarshal(lines.Bytes(), &e), qt.IsNil, qt.Commentf("line %d", n))
-		if e.Kind == "recalls" {
-			c.Assert(l.Recalls(at(e.AtUS)), qt.DeepEquals, e.Recalls, qt.Commentf("line %d", n))
-			continue
-		}
-		var grants []grant
-		for _, granted := range apply(l, e) {
-			grants = append(grants, grantOf(granted))
-		}
-		c.Assert(grants, qt.DeepEquals, e.Grants, qt.Commentf("line %d: %s", n, lines.Text()))
+func replay(c *qt.C, l *lender.Lender, line replayer.Line) {
+	var e event
+	line.Decode(c, &e)
+	if e.Kind == "recalls" {
+		c.Assert(l.Recalls(at(e.AtUS)), qt.DeepEquals, e.Recalls, qt.Commentf("line %d", line.Number))
+		return
+	}
+	var grants []grant
+	for _, granted := range apply(l, e) {
+		grants = append(grants, grantOf(granted))
 	}
-	c.Assert(lines.Err(), qt.IsNil)
+	c.Assert(grants, qt.DeepEquals, e.Grants, qt.Commentf("line %d: %s", line.Number, line.Text))
 }
--- /dev/null
+++ b/lib/replayer/doc.go
@@ -0,0 +1,2 @@
+// Package replayer runs recorded traces against stated outcomes in tests.
+package replayer
