Poll conditions in tests by one loop

Cause: the tests of the linker, of the heartbeater and of the failures each had the same loop (duplicates: linker_test.go ~ heartbeater_test.go). Change: lib/awaiter polls at an interval and ends the test at a limit; each keeps its own interval (2, 5 and 10 ms) and its limits. The text of a wait in vain is now the same in all. Seen: TestAwait holds both ends; the tests of the linker and the heartbeater pass, and TestBadInputIsRefusedAndReachesNoEndpoint and TestOfRacingOperatorsOneWins, one run each at a load of 40 to 60.

--- /dev/null
+++ b/lib/awaiter/doc.go
@@ -0,0 +1,2 @@
+// Package awaiter waits in tests for what comes about in the background.
+package awaiter
--- a/poplarhook/modules/linker/linker_test.go
+++ b/poplarhook/modules/linker/linker_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"poplarhook.example/lib/awaiter"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/modules/linker"
@@ -66,16 +67,7 @@
 // await polls the condition, as links form in the background.
 func await(c *qt.C, limit time.Duration, what string, condition func() bool) {
 	c.Helper()
-	deadline := time.After(limit)
-	tick := time.NewTicker(2 * time.Millisecond)
-	defer tick.Stop()
-	for !condition() {
-		select {
-		case <-deadline:
-			c.Fatalf("not within %s: %s", limit, what)
-		case <-tick.C:
-		}
-	}
+	awaiter.New(2*time.Millisecond).Await(c, limit, what, condition)
 }
 
 func demand(sequence uint64) *wire.Frame {
--- a/poplarhook/services/heartbeater/heartbeater_test.go
+++ b/poplarhook/services/heartbeater/heartbeater_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
+	"poplarhook.example/lib/awaiter"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/wire"
 	"poplarhook.example/poplarhook/models/member"
@@ -65,16 +66,7 @@
 
 func await(c *qt.C, limit time.Duration, what string, condition func() bool) {
 	c.Helper()
-	deadline := time.After(limit)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !condition() {
-		select {
-		case <-deadline:
-			c.Fatalf("not within %s: %s", limit, what)
-		case <-tick.C:
-		}
-	}
+	awaiter.New(5*time.Millisecond).Await(c, limit, what, condition)
 }
 
 func TestHostsFindEachOtherLeaveAndDie(t *testing.T) {
--- a/tests/failures/fleet_test.go
+++ b/tests/failures/fleet_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"poplarhook.example/lib/awaiter"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarbench/scenario"
 	"poplarhook.example/tests/deployment"
@@ -83,17 +84,7 @@
 
 func awaitWithin(t *testing.T, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
-	deadline := time.NewTimer(limit)
-	defer deadline.Stop()
-	ticker := time.NewTicker(conditionPoll)
-	defer ticker.Stop()
-	for !condition() {
-		select {
-		case <-ticker.C:
-		case <-deadline.C:
-			t.Fatalf("waited %v in vain for %s", limit, what)
-		}
-	}
+	awaiter.New(conditionPoll).Await(t, limit, what, condition)
 }
 
 // pass lets a stretch of time pass during which a fault lasts.
