Pause by one function

Cause: the publisher, poplarctl's settler, the bench and the demo each had the same pause that a context cuts short (duplicates: lib/publisher ~ settler, tests/bencher/zone.go ~ tests/demonstrator/demonstrator.go). Change: lib/pauser; 51 lines go, no behaviour changes.

--- /dev/null
+++ b/lib/pauser/doc.go
@@ -0,0 +1,2 @@
+// Package pauser lets time pass until a context ends.
+package pauser
--- /dev/null
+++ b/lib/pauser/pauser.go
@@ -0,0 +1,18 @@
+package pauser
+
+import (
+	"context"
+	"time"
+)
+
+// Pause returns after the duration, or with the context's error once the context ends.
+func Pause(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/lib/publisher/publisher.go
+++ b/lib/publisher/publisher.go
@@ -12,6 +12,7 @@
 	"poplarhook.example/lib/document"
 	"poplarhook.example/lib/index"
 	"poplarhook.example/lib/object"
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/lib/proposal"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/lib/storer"
@@ -90,7 +91,7 @@
 		documents: assembler.New(store),
 		rebases:   defaultRebases,
 		accepted:  func(index.Index, proposal.Proposal) {},
-		pause:     pause,
+		pause:     pauser.Pause,
 	}
 	for _, option := range options {
 		option(p)
@@ -189,14 +190,3 @@
 	}
 	return errors.Wrapf(ErrUnavailable, "%v", err)
 }
-
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/poplarctl/services/settler/settler.go
+++ b/poplarctl/services/settler/settler.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"poplarhook.example/lib/index"
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/lib/problem"
 	"poplarhook.example/poplarctl/modules/requester"
 )
@@ -48,7 +49,7 @@
 
 // New returns a settler that takes the present time from the clock.
 func New(sender Sender, clock func() time.Time, options ...Option) *Settler {
-	s := &Settler{sender: sender, clock: clock, pause: pause}
+	s := &Settler{sender: sender, clock: clock, pause: pauser.Pause}
 	for _, option := range options {
 		option(s)
 	}
@@ -143,14 +144,3 @@
 	}
 	return errors.Wrapf(ErrNotAccepted, "%v", c.last)
 }
-
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/tests/bencher/cost.go
+++ b/tests/bencher/cost.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/poplarbench/aligner"
 	"poplarhook.example/poplarbench/result"
 	"poplarhook.example/poplarbench/scenario"
@@ -68,7 +69,7 @@
 
 func (b *Bencher) spend(ctx context.Context, running *fleet.Fleet, load scenario.Scenario) (expense, error) {
 	var spent expense
-	if err := wait(ctx, costSettle); err != nil {
+	if err := pauser.Pause(ctx, costSettle); err != nil {
 		return spent, err
 	}
 	var err error
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/poplarbench/aligner"
 	"poplarhook.example/poplarbench/result"
 	"poplarhook.example/poplarbench/scenario"
@@ -87,13 +88,13 @@
 // moveZone takes the deployment's fourth zone, the second of its first region, out and back.
 func moveZone(ctx context.Context, running *fleet.Fleet, duration time.Duration) error {
 	zone := running.Deployment().Zones[3].Name
-	if err := wait(ctx, warmUp+duration/3); err != nil {
+	if err := pauser.Pause(ctx, warmUp+duration/3); err != nil {
 		return err
 	}
 	if err := running.ZoneOut(ctx, zone); err != nil {
 		return err
 	}
-	if err := wait(ctx, duration/3); err != nil {
+	if err := pauser.Pause(ctx, duration/3); err != nil {
 		return err
 	}
 	for _, endpoint := range running.Endpoints() {
@@ -160,14 +161,3 @@
 	table.Addf("%s\t%s\t%s\t%s\t%s\t%s\t", policy, p.name, spread.New(middles...), spread.New(worsts...),
 		spread.New(refusals...), spread.New(broken...))
 }
-
-func wait(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/tests/demonstrator/demonstrator.go
+++ b/tests/demonstrator/demonstrator.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/poplarbench/experimenter"
 	"poplarhook.example/poplarbench/reporter"
 	"poplarhook.example/poplarbench/result"
@@ -108,7 +109,7 @@
 // moveZone takes the second zone of the first region out and brings it back with its endpoints cold.
 func (d *Demonstrator) moveZone(ctx context.Context, running *fleet.Fleet, duration time.Duration) zoneMove {
 	zone := d.secondZone()
-	if err := wait(ctx, share(duration, outAt)); err != nil {
+	if err := pauser.Pause(ctx, share(duration, outAt)); err != nil {
 		return zoneMove{err: err}
 	}
 	if err := running.ZoneOut(ctx, zone); err != nil {
@@ -116,7 +117,7 @@
 	}
 	out := outage{zone: zone, accepted: d.clock()}
 	d.say("availability zone %s is out", zone)
-	if err := wait(ctx, share(duration, backAt-outAt)); err != nil {
+	if err := pauser.Pause(ctx, share(duration, backAt-outAt)); err != nil {
 		return zoneMove{outage: out, err: err}
 	}
 	for _, endpoint := range running.Endpoints() {
@@ -152,14 +153,3 @@
 func share(duration time.Duration, part float64) time.Duration {
 	return time.Duration(float64(duration) * part)
 }
-
-func wait(ctx context.Context, duration time.Duration) error {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
