--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -21,11 +21,6 @@
 	"--start-warm", "--cold-requests", "40", "--cold-limit", "2", "--cold-factor", "3",
 }
 
-// restart ends an endpoint's incarnation, after which it is cold.
-type restart struct {
-	Restart bool `json:"restart"`
-}
-
 // phase is a part of the run by its windows.
 type phase struct {
 	name        string
@@ -97,13 +92,8 @@
 	if err := pauser.Pause(ctx, duration/3); err != nil {
 		return err
 	}
-	for _, endpoint := range running.Endpoints() {
-		if endpoint.AvailabilityZone != zone {
-			continue
-		}
-		if err := running.ControlEndpoint(ctx, endpoint.ID, restart{Restart: true}); err != nil {
-			return err
-		}
+	if err := running.RestartZone(ctx, zone); err != nil {
+		return err
 	}
 	return running.ZoneIn(ctx, zone)
 }
--- a/tests/demonstrator/demonstrator.go
+++ b/tests/demonstrator/demonstrator.go
@@ -33,11 +33,6 @@
 // coldStarts lets an endpoint that restarts bear one request at once until it has answered twenty.
 var coldStarts = []string{"--start-warm", "--cold-requests", "20", "--cold-limit", "1"}
 
-// restart ends an endpoint's incarnation, after which it is cold.
-type restart struct {
-	Restart bool `json:"restart"`
-}
-
 // Demonstrator runs one deployment for a bounded time.
 type Demonstrator struct {
 	deployment deployment.Deployment
@@ -120,13 +115,8 @@
 	if err := pauser.Pause(ctx, share(duration, backAt-outAt)); err != nil {
 		return zoneMove{outage: out, err: err}
 	}
-	for _, endpoint := range running.Endpoints() {
-		if endpoint.AvailabilityZone != zone {
-			continue
-		}
-		if err := running.ControlEndpoint(ctx, endpoint.ID, restart{Restart: true}); err != nil {
-			return zoneMove{outage: out, err: err}
-		}
+	if err := running.RestartZone(ctx, zone); err != nil {
+		return zoneMove{outage: out, err: err}
 	}
 	out.ended = d.clock()
 	if err := running.ZoneIn(ctx, zone); err != nil {
--- a/tests/failures/cold_test.go
+++ b/tests/failures/cold_test.go
@@ -159,11 +159,7 @@
 
 func restartZone(t *testing.T, running *fleet.Fleet, zone string) {
 	t.Helper()
-	for _, endpoint := range running.Endpoints() {
-		if endpoint.AvailabilityZone == zone {
-			control(t, running, endpoint, endpointFaults{Restart: true})
-		}
-	}
+	qt.Assert(t, running.RestartZone(t.Context(), zone), qt.IsNil)
 }
 
 // ownerOf returns the entry host that owns the first group, as a live host knows it.
--- a/tests/fleet/control.go
+++ b/tests/fleet/control.go
@@ -59,6 +59,24 @@
 	return nil
 }
 
+// restart ends an endpoint's incarnation, after which it is cold.
+type restart struct {
+	Restart bool `json:"restart"`
+}
+
+// RestartZone restarts every endpoint of an availability zone, which leaves them cold.
+func (f *Fleet) RestartZone(ctx context.Context, zone string) error {
+	for _, endpoint := range f.Endpoints() {
+		if endpoint.AvailabilityZone != zone {
+			continue
+		}
+		if err := f.ControlEndpoint(ctx, endpoint.ID, restart{Restart: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Ledger returns what all endpoints have recorded together since their start.
 func (f *Fleet) Ledger(ctx context.Context) (ledger.Ledger, error) {
 	return collector.New(http.DefaultClient).Ledger(ctx, f.controls...)
