Read the flags of the bench and the demo in one place

Change: tests/arguments; each program adds its own flags. The bench's checks of values stand in a function of their own. Seen: values that are not allowed are refused as before by both, seven of them tried; the demo runs.

--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -5,19 +5,16 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
-	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"poplarhook.example/tests/arguments"
 	"poplarhook.example/tests/bencher"
 	"poplarhook.example/tests/choice"
 )
 
-var errFlag = errors.New("invalid flag")
-
 type settings struct {
 	bin       string
 	scenarios string
@@ -28,15 +25,14 @@
 	entries   int
 	duration  time.Duration
 	arguments []string
-	// deployment names the user whose deployment the experiment zone runs.
-	deployment string
-	chosen     choice.Choice
+	// chosen is what the experiment zone runs.
+	chosen choice.Choice
 	// rate is how many requests a second the experiment zone offers.
 	rate float64
 }
 
 func main() {
-	s := settings{bin: "bin", scenarios: "poplarbench/scenarios", results: "out/bench", entries: 6, deployment: choice.Kite}
+	s := settings{scenarios: "poplarbench/scenarios", results: "out/bench", entries: 6}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := s.parse(os.Args[1:])
 	if err == nil {
@@ -49,11 +45,9 @@
 	}
 }
 
-func (s *settings) parse(arguments []string) error {
-	parser := flaggy.NewParser("bench")
-	parser.Description = "measure the policies side by side; results as JSON files and tables"
-	parser.DisableShowVersionWithVersion()
-	parser.String(&s.bin, "", "bin", "folder of the built programs")
+func (s *settings) parse(given []string) error {
+	parser := arguments.New("bench", "measure the policies side by side; results as JSON files and tables",
+		"whose deployment --only zone runs, whole: kite or brandstaetter")
 	parser.String(&s.scenarios, "", "scenarios", "folder of the scenario files")
 	parser.String(&s.results, "", "results", "folder for the result files")
 	parser.String(&s.only, "", "only", "one experiment: noisy, zone, added, cost, budget or overload; all when empty")
@@ -61,37 +55,36 @@
 	parser.UInt64Slice(&s.seeds, "", "seed", "seed of a run; repeat for more (default: 1, 2, 3)")
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
 	parser.Duration(&s.duration, "", "duration", "time of each run in place of its scenario's; 0s keeps it")
-	parser.String(&s.deployment, "", "deployment", "whose deployment --only zone runs, whole: kite or brandstaetter")
 	parser.Float64(&s.rate, "", "rate", "requests a second that --only zone offers in place of its scenario's; 0 keeps it")
 	parser.StringSlice(&s.arguments, "", "entry-argument", "argument for every entry host, such as --entry-argument=--hedge-share=0.1; repeat for more")
-	if err := parser.ParseArgs(arguments); err != nil {
-		return errors.Wrap(err, "reading the arguments")
+	if err := parser.Parse(given); err != nil {
+		return err
 	}
+	s.bin, s.chosen = parser.Bin, parser.Choice
+	return s.check()
+}
+
+// check returns an error for values that are not allowed.
+func (s *settings) check() error {
 	if s.entries < 1 {
-		return errors.Wrapf(errFlag, "--entries: value %d, allowed: 1 or more", s.entries)
+		return errors.Wrapf(arguments.ErrFlag, "--entries: value %d, allowed: 1 or more", s.entries)
 	}
 	if s.duration < 0 {
-		return errors.Wrapf(errFlag, "--duration: value %s, allowed: 0s or more", s.duration)
+		return errors.Wrapf(arguments.ErrFlag, "--duration: value %s, allowed: 0s or more", s.duration)
 	}
-	if s.deployment != choice.Kite && s.only != "zone" {
-		return errors.Wrapf(errFlag, "--deployment: value %q, allowed: %s, or another with --only zone", s.deployment, choice.Kite)
+	if s.chosen.Name != choice.Kite && s.only != "zone" {
+		return errors.Wrapf(arguments.ErrFlag, "--deployment: value %q, allowed: %s, or another with --only zone", s.chosen.Name, choice.Kite)
 	}
 	if s.rate < 0 {
-		return errors.Wrapf(errFlag, "--rate: value %v, allowed: 0 or more", s.rate)
+		return errors.Wrapf(arguments.ErrFlag, "--rate: value %v, allowed: 0 or more", s.rate)
 	}
 	if s.rate > 0 && s.only != "zone" {
-		return errors.Wrapf(errFlag, "--rate: value %v, allowed: 0, or another with --only zone", s.rate)
+		return errors.Wrapf(arguments.ErrFlag, "--rate: value %v, allowed: 0, or another with --only zone", s.rate)
 	}
-	var err error
-	s.chosen, err = choice.New(s.deployment)
-	return errors.Wrap(err, "--deployment")
+	return nil
 }
 
 func run(ctx context.Context, s settings) error {
-	bin, err := filepath.Abs(s.bin)
-	if err != nil {
-		return errors.Wrap(err, "--bin")
-	}
 	options := []bencher.Option{
 		bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...),
 		bencher.WithZoneChoice(s.chosen), bencher.WithZoneRate(s.rate),
@@ -102,7 +95,7 @@
 	if len(s.seeds) > 0 {
 		options = append(options, bencher.WithSeeds(s.seeds...))
 	}
-	b := bencher.New(bin, s.scenarios, s.results, os.Stdout, time.Now, options...)
+	b := bencher.New(s.bin, s.scenarios, s.results, os.Stdout, time.Now, options...)
 	switch s.only {
 	case "noisy":
 		return b.Noisy(ctx)
@@ -119,7 +112,7 @@
 	case "":
 		return all(ctx, b)
 	default:
-		return errors.Wrapf(errFlag, "--only: value %q, allowed: noisy, zone, added, cost, budget, overload", s.only)
+		return errors.Wrapf(arguments.ErrFlag, "--only: value %q, allowed: noisy, zone, added, cost, budget, overload", s.only)
 	}
 }
 
--- a/tests/demo/main.go
+++ b/tests/demo/main.go
@@ -6,13 +6,12 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
-	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
 
+	"poplarhook.example/tests/arguments"
 	"poplarhook.example/tests/choice"
 	"poplarhook.example/tests/demonstrator"
 	"poplarhook.example/tests/verdict"
@@ -23,18 +22,15 @@
 	maxDuration = time.Hour
 )
 
-var errFlag = errors.New("invalid flag")
-
 type settings struct {
-	duration   time.Duration
-	bin        string
-	deployment string
-	chosen     choice.Choice
-	logs       string
+	duration time.Duration
+	bin      string
+	chosen   choice.Choice
+	logs     string
 }
 
 func main() {
-	s := settings{duration: 10 * time.Second, bin: "bin", deployment: choice.Kite}
+	s := settings{duration: 10 * time.Second}
 	if err := s.parse(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "demo:", err)
 		os.Exit(2)
@@ -50,38 +46,31 @@
 	}
 }
 
-func (s *settings) parse(arguments []string) error {
-	parser := flaggy.NewParser("demo")
-	parser.Description = "run a deployment against stand-ins while an availability zone leaves and returns"
-	parser.DisableShowVersionWithVersion()
+func (s *settings) parse(given []string) error {
+	parser := arguments.New("demo", "run a deployment against stand-ins while an availability zone leaves and returns",
+		"kite or brandstaetter")
 	parser.Duration(&s.duration, "", "duration", "how long load is offered")
-	parser.String(&s.bin, "", "bin", "folder of the built programs")
-	parser.String(&s.deployment, "", "deployment", "kite or brandstaetter")
 	parser.String(&s.logs, "", "logs", "folder for the output of the processes; temporary when empty")
-	if err := parser.ParseArgs(arguments); err != nil {
-		return errors.Wrap(err, "reading the arguments")
+	if err := parser.Parse(given); err != nil {
+		return err
 	}
+	s.bin, s.chosen = parser.Bin, parser.Choice
 	if s.duration < minDuration || s.duration > maxDuration {
-		return errors.Wrapf(errFlag, "--duration: value %s, allowed: %s to %s", s.duration, minDuration, maxDuration)
+		return errors.Wrapf(arguments.ErrFlag, "--duration: value %s, allowed: %s to %s", s.duration, minDuration, maxDuration)
 	}
-	var err error
-	s.chosen, err = choice.New(s.deployment)
-	return errors.Wrap(err, "--deployment")
+	return nil
 }
 
 // demonstrate keeps the processes' output only when the folder was asked for or something failed.
 func demonstrate(ctx context.Context, s settings) (verdict.Verdict, error) {
-	bin, err := filepath.Abs(s.bin)
-	if err != nil {
-		return verdict.Verdict{}, errors.Wrap(err, "--bin")
-	}
 	logs := s.logs
 	if logs == "" {
+		var err error
 		if logs, err = os.MkdirTemp("", "poplarhook-demo-"); err != nil {
 			return verdict.Verdict{}, errors.Wrap(err, "log folder")
 		}
 	}
-	shown := demonstrator.New(s.chosen.Deployment, s.chosen.Mix, bin, logs, os.Stdout, time.Now).Run(ctx, s.duration)
+	shown := demonstrator.New(s.chosen.Deployment, s.chosen.Mix, s.bin, logs, os.Stdout, time.Now).Run(ctx, s.duration)
 	if !shown.IsGood() {
 		fmt.Fprintln(os.Stderr, "demo: the processes' output is in", logs)
 		return shown, nil
