Stop the process test's program only after its last line

Cause: TestReadyAndStop asserted output that the shell writes after its ready line, and sent SIGTERM as soon as that line was read; a shell asked to end between the two lines ends without the second. Change: the test waits for the program's last line before it stops it. Conclusion: a fault of the test, not of tests/process.

--- a/tests/process/process_test.go
+++ b/tests/process/process_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"poplarhook.example/lib/awaiter"
 	"poplarhook.example/tests/process"
 )
 
@@ -34,6 +35,11 @@
 	var line readyLine
 	c.Assert(p.Ready(t.Context(), &line), qt.IsNil)
 	c.Assert(line.Address, qt.Equals, "a:1")
+	// The program may be stopped only after its last line, or it ends without it.
+	awaiter.New(time.Millisecond).Await(c, limit, "the last line", func() bool {
+		written, err := os.ReadFile(filepath.Join(folder, "shell.stderr"))
+		return err == nil && len(written) > 0
+	})
 	c.Assert(p.Freeze(), qt.IsNil)
 	c.Assert(p.Stop(limit), qt.IsNil)
 	c.Assert(syscall.Kill(p.ID(), 0), qt.Equals, syscall.ESRCH)
