Give a delayed link the time to open, and room for many small chunks

Cause: the relay let the first bytes of a new connection go at once, though a real opener waits a way there and back; and it held at most 64 chunks of one direction, so that many small ones waited up to one more delay. Both would flatter or disturb measurements with distances between regions.

Change: a relayed connection waits twice the delay before its bytes are read; 1024 chunks of a direction may be on the way, each as large as what was read.

Seen to fail first: TestOpeningTakesAWayThereAndBack (shorter than 4 delays), TestChunksAreOnTheWayTogether (chunk 66 took 829 ms, allowed 750 ms, delay 300 ms each way). Both pass after, three times under the race detector (machine shared).

Conclusion: links delay each chunk by their own time in each direction, with order and bytes kept.

--- a/standin/forwarder/forwarder.go
+++ b/standin/forwarder/forwarder.go
@@ -13,7 +13,7 @@
 
 // Settings are the faults of the link.
 type Settings struct {
-	// DelayMS is the time that bytes take in each direction.
+	// DelayMS is the time that bytes take in each direction; opening a connection takes it twice.
 	DelayMS int `json:"delay_ms"`
 	// CutToTarget holds bytes to the target back while it is set, as a lossy link does.
 	CutToTarget bool `json:"cut_to_target"`
@@ -135,6 +135,10 @@
 
 // relay runs one connection to its end.
 func (f *Forwarder) relay(ctx context.Context, caller net.Conn) {
+	if !f.open(ctx) {
+		resetConn(caller)
+		return
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	target, err := dialer.DialContext(ctx, "tcp", f.target)
 	if err != nil {
@@ -153,6 +157,24 @@
 	opened.close()
 }
 
+// open waits while the opening of a connection is on its way there and back, and returns false when the context
+// ended first.
+func (f *Forwarder) open(ctx context.Context) bool {
+	timer := time.NewTimer(2 * f.delay())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// delay is the time that bytes take in each direction.
+func (f *Forwarder) delay() time.Duration {
+	return time.Duration(f.Settings().DelayMS) * time.Millisecond
+}
+
 func (f *Forwarder) add(opened *link) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -185,7 +207,7 @@
 	}
 }
 
-func (f *Forwarder) count(way direction, n int) time.Duration {
+func (f *Forwarder) count(way direction, n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if way == toTarget {
@@ -193,5 +215,4 @@
 	} else {
 		f.bytesFrom += int64(n)
 	}
-	return time.Duration(f.settings.DelayMS) * time.Millisecond
 }
--- a/standin/forwarder/forwarder_test.go
+++ b/standin/forwarder/forwarder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -82,6 +83,48 @@
 	c.Assert(time.Since(begun) >= 2*delayMS*time.Millisecond, qt.IsTrue)
 }
 
+// A connection that is new costs its opener a way there and back before it can send.
+func TestOpeningTakesAWayThereAndBack(t *testing.T) {
+	const delayMS = 20
+	c, f := startEcho(t, forwarder.Settings{DelayMS: delayMS})
+	begun := time.Now()
+	conn := dial(c, f)
+	sendPing(c, conn)
+	_, err := receive(conn, 4, longWait)
+	c.Assert(err, qt.IsNil)
+	c.Assert(time.Since(begun) >= 4*delayMS*time.Millisecond, qt.IsTrue)
+}
+
+// Many small chunks are on the way at once: each keeps its bytes, its order and its own delay.
+func TestChunksAreOnTheWayTogether(t *testing.T) {
+	const (
+		delay  = 300 * time.Millisecond
+		chunks = 200
+		most   = 5 * delay / 2
+	)
+	c, f := startEcho(t, forwarder.Settings{DelayMS: int(delay / time.Millisecond)})
+	conn := dial(c, f)
+	sendPing(c, conn)
+	_, err := receive(conn, 4, longWait)
+	c.Assert(err, qt.IsNil)
+	sent := make(chan time.Time, chunks)
+	go func() {
+		for i := range chunks {
+			sent <- time.Now()
+			_, _ = fmt.Fprintf(conn, "%04d", i)
+			time.Sleep(500 * time.Microsecond)
+		}
+	}()
+	for i := range chunks {
+		text, err := receive(conn, 4, longWait)
+		c.Assert(err, qt.IsNil)
+		c.Assert(text, qt.Equals, fmt.Sprintf("%04d", i))
+		took := time.Since(<-sent)
+		c.Assert(took >= 2*delay, qt.IsTrue, qt.Commentf("chunk %d took %v", i, took))
+		c.Assert(took <= most, qt.IsTrue, qt.Commentf("chunk %d took %v", i, took))
+	}
+}
+
 func TestCutHoldsBytesBack(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/standin/forwarder/link.go
+++ b/standin/forwarder/link.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -12,8 +13,8 @@
 
 const (
 	chunkBytes = 16 << 10
-	// chunksOnWay bounds what a link holds in one direction.
-	chunksOnWay = 64
+	// chunksOnWay bounds what a link holds in one direction, 16 MiB of full chunks.
+	chunksOnWay = 1024
 )
 
 // direction is one of the two ways over a link.
@@ -87,12 +88,12 @@
 
 func (f *Forwarder) collect(open *link, way direction, from net.Conn, onWay chan<- chunk) {
 	defer close(onWay)
+	buffer := make([]byte, chunkBytes)
 	for {
-		buffer := make([]byte, chunkBytes)
 		n, err := from.Read(buffer)
-		delay := f.count(way, n)
+		f.count(way, n)
 		select {
-		case onWay <- chunk{bytes: buffer[:n], err: err, due: time.NewTimer(delay)}:
+		case onWay <- chunk{bytes: bytes.Clone(buffer[:n]), err: err, due: time.NewTimer(f.delay())}:
 		case <-open.ended:
 			return
 		}
