Relay to many targets in one process

Cause: distances between regions need a relay for each endpoint and each entry host, named while the deployment runs, as hosts get new addresses when they start anew. One process for each would be dozens.

Change: standin relays opens a relay to each target it is told, all with one delay (standin/connector).

Conclusion: one process carries all links of a deployment.

--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -30,7 +30,7 @@
 	parser.Description = "Plays the platform, endpoints or a slow link, for tests and demonstrations."
 	parser.DisableShowVersionWithVersion()
 	parser.ShowCompletion = false
-	subcommands := []subcommand{newPlatform(), newEndpoints(), newRelay()}
+	subcommands := []subcommand{newPlatform(), newEndpoints(), newRelay(), newRelays()}
 	flags := make([]*flaggy.Subcommand, len(subcommands))
 	for i, s := range subcommands {
 		flags[i] = s.flags()
