Put distances between regions into the test fleet

Cause: all processes stand on one machine, so nothing measured yet held a distance between regions.

Change: fleet.WithDistance starts one process of relays and one host list for each region. The entry hosts of a region read that list, in which endpoints and entry hosts of other regions stand behind relays, so that both ends of a link are reached through one whoever dials. The store and the lists stand in the first region and are reached from the others through relays. PutHost and RemoveHost reach all lists, and a restarted entry host gets a new relay.

Conclusion: a fleet can stand in three regions 12 ms apart.

--- a/tests/fleet/control.go
+++ b/tests/fleet/control.go
@@ -24,15 +24,22 @@
 	maxCallBytes = 64 << 20
 )
 
-// PutHost adds a host to the platform's list or replaces it.
+// PutHost adds a host to the platform's list, and to those of the regions, or replaces it.
 func (f *Fleet) PutHost(ctx context.Context, h host.Host) error {
-	return f.PutHostInto(ctx, f.PlatformURL(), h)
+	if err := f.PutHostInto(ctx, f.PlatformURL(), h); err != nil {
+		return err
+	}
+	return f.putIntoLists(ctx, h)
 }
 
-// RemoveHost takes a host off the platform's list.
+// RemoveHost takes a host off the platform's list and those of the regions.
 func (f *Fleet) RemoveHost(ctx context.Context, id string) error {
-	_, err := call(ctx, http.MethodDelete, f.PlatformURL()+"/standin/hosts/"+id, nil)
-	return err
+	for _, url := range f.listURLs() {
+		if _, err := call(ctx, http.MethodDelete, url+"/standin/hosts/"+id, nil); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // ControlPlatform sets faults of the platform stand-in, by a value that encodes to their JSON.
--- a/tests/fleet/fleet.go
+++ b/tests/fleet/fleet.go
@@ -42,11 +42,14 @@
 	entryArguments    []string
 	endpointArguments []string
 	splitZones        bool
+	distance          time.Duration
 	startTimeout      time.Duration
 	stopTimeout       time.Duration
 	clock             func() time.Time
 
 	platform  string
+	relays    string
+	lists     map[string]string
 	controls  []string
 	controlOf map[string]string
 	tokens    map[string]string
@@ -188,6 +191,9 @@
 	if err := f.startPlatform(ctx); err != nil {
 		return err
 	}
+	if err := f.startDistance(ctx); err != nil {
+		return err
+	}
 	if err := f.startEndpoints(ctx); err != nil {
 		return err
 	}
--- a/tests/fleet/fleet_test.go
+++ b/tests/fleet/fleet_test.go
@@ -161,3 +161,70 @@
 	c.Assert(used.ResidentBytes > 0, qt.IsTrue)
 	c.Assert(running.Stop(), qt.IsNil)
 }
+
+// listed returns the addresses of the hosts in a region's list, by id.
+func listed(c *qt.C, running *fleet.Fleet, region string) map[string]host.Host {
+	text, err := running.Get(c.Context(), running.ListURLOf(region)+"/v1/hosts")
+	c.Assert(err, qt.IsNil)
+	var list struct {
+		Hosts []host.Host `json:"hosts"`
+	}
+	c.Assert(json.Unmarshal(text, &list), qt.IsNil)
+	byID := make(map[string]host.Host)
+	for _, h := range list.Hosts {
+		byID[h.ID] = h
+	}
+	return byID
+}
+
+// assertDistant checks that each region reaches its own hosts straight and those of others by other addresses.
+func assertDistant(c *qt.C, running *fleet.Fleet) {
+	for _, region := range []string{"pohja", "louna", "laane"} {
+		byID := listed(c, running, region)
+		c.Assert(byID, qt.HasLen, len(running.Endpoints())+len(running.Entries()))
+		for _, h := range running.Endpoints() {
+			c.Assert(byID[h.ID].Address == h.Address, qt.Equals, h.Region == region)
+		}
+		for _, h := range running.Entries() {
+			c.Assert(byID[h.ID].PeerAddress == h.PeerAddress, qt.Equals, h.Region == region)
+		}
+	}
+}
+
+// payments returns the p50 in milliseconds of payments bound to the region pohja through an entry host.
+func payments(c *qt.C, running *fleet.Fleet, entry host.Host) float64 {
+	load := scenario.Scenario{DurationMS: 1000, RatePerS: 50, Arrivals: scenario.Constant, Mix: []scenario.Entry{{
+		Name: "grant_payment", Weight: 1, Method: http.MethodPost, Path: "/payments", OnceOnly: true, IdempotencyKey: true,
+		BodyBytes: 10, DeadlineMS: 3000, HomeRegions: []string{"pohja"},
+	}}}
+	measured, err := experimenter.New(load, []string{entry.Address}, time.Now,
+		experimenter.WithControls(running.Controls()...), experimenter.WithHostList(running.HostListURL())).Run(c.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(measured.IsClean(), qt.IsTrue)
+	c.Assert(measured.Served, qt.Equals, measured.Sent)
+	return measured.P50MS
+}
+
+// Requests bound to another region take the way there and back, also after an entry host has started anew.
+func TestDistance(t *testing.T) {
+	const oneWay = 12 * time.Millisecond
+	c := qt.New(t)
+	running := start(c, fleet.WithEntries(3), fleet.WithDistance(oneWay))
+	assertDistant(c, running)
+	second := running.Entries()[1]
+	c.Assert(running.Terminate(second.ID), qt.IsNil)
+	c.Assert(running.StartEntry(t.Context(), second), qt.IsNil)
+	c.Assert(running.WaitReady(t.Context()), qt.IsNil)
+	assertDistant(c, running)
+
+	second = running.Entries()[1]
+	near, far := payments(c, running, running.Entries()[0]), payments(c, running, second)
+	c.Assert(far >= 24, qt.IsTrue, qt.Commentf("p50 %v ms", far))
+	c.Assert(near < far, qt.IsTrue, qt.Commentf("p50 %v ms near, %v ms far", near, far))
+	c.Assert(running.RemoveHost(t.Context(), second.ID), qt.IsNil)
+	for _, region := range []string{"pohja", "louna", "laane"} {
+		_, left := listed(c, running, region)[second.ID]
+		c.Assert(left, qt.IsFalse)
+	}
+	c.Assert(running.Stop(), qt.IsNil)
+}
--- a/tests/fleet/starter.go
+++ b/tests/fleet/starter.go
@@ -133,7 +133,7 @@
 	var started []*process.Process
 	entries := f.deployment.Entries(f.entryCount)
 	for _, entry := range entries {
-		p, err := f.launchEntry(entry)
+		p, err := f.launchEntry(ctx, entry)
 		if err != nil {
 			return err
 		}
@@ -150,18 +150,26 @@
 // StartEntry starts one more entry host, or one that has ended anew, with some more arguments and waits
 // until it listens.
 func (f *Fleet) StartEntry(ctx context.Context, entry host.Host, arguments ...string) error {
-	p, err := f.launchEntry(entry, arguments...)
+	p, err := f.launchEntry(ctx, entry, arguments...)
 	if err != nil {
 		return err
 	}
 	return f.admitEntry(ctx, p, entry)
 }
 
-func (f *Fleet) launchEntry(entry host.Host, more ...string) (*process.Process, error) {
+func (f *Fleet) launchEntry(ctx context.Context, entry host.Host, more ...string) (*process.Process, error) {
+	storeURL, err := f.platformFrom(ctx, entry.Region, f.platform)
+	if err != nil {
+		return nil, err
+	}
+	listURL, err := f.platformFrom(ctx, entry.Region, f.listOf(entry.Region))
+	if err != nil {
+		return nil, err
+	}
 	arguments := []string{
 		"serve", "--host-id", entry.ID, "--region", entry.Region, "--availability-zone", entry.AvailabilityZone,
 		"--listen", anyPort, "--peer-listen", anyPort, "--admin-listen", anyPort,
-		"--store-url", f.PlatformURL(), "--host-list-url", f.PlatformURL(),
+		"--store-url", storeURL, "--host-list-url", listURL,
 	}
 	if f.policy != "" {
 		arguments = append(arguments, "--policy", f.policy)
