--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -26,6 +26,7 @@
 	seeds     []uint64
 	entries   int
 	duration  time.Duration
+	distance  time.Duration
 	arguments []string
 }
 
@@ -55,6 +56,7 @@
 	parser.UInt64Slice(&s.seeds, "", "seed", "seed of a run; repeat for more (default: 1, 2, 3)")
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
 	parser.Duration(&s.duration, "", "duration", "time of each run in place of its scenario's; 0s keeps it")
+	parser.Duration(&s.distance, "", "distance", "time that bytes take one way between regions in noisy and zone, whole ms such as 12ms; 0s for none")
 	parser.StringSlice(&s.arguments, "", "entry-argument", "argument for every entry host, such as --entry-argument=--hedge-share=0.1; repeat for more")
 	if err := parser.ParseArgs(arguments); err != nil {
 		return errors.Wrap(err, "reading the arguments")
@@ -65,6 +67,9 @@
 	if s.duration < 0 {
 		return errors.Wrapf(errFlag, "--duration: value %s, allowed: 0s or more", s.duration)
 	}
+	if s.distance < 0 || s.distance%time.Millisecond != 0 {
+		return errors.Wrapf(errFlag, "--distance: value %s, allowed: whole milliseconds, 0s or more", s.distance)
+	}
 	return nil
 }
 
@@ -73,7 +78,10 @@
 	if err != nil {
 		return errors.Wrap(err, "--bin")
 	}
-	options := []bencher.Option{bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...)}
+	options := []bencher.Option{
+		bencher.WithEntries(s.entries), bencher.WithDuration(s.duration),
+		bencher.WithDistance(s.distance), bencher.WithEntryArguments(s.arguments...),
+	}
 	if len(s.policies) > 0 {
 		options = append(options, bencher.WithPolicies(s.policies...))
 	}
--- a/tests/bencher/bencher.go
+++ b/tests/bencher/bencher.go
@@ -37,6 +37,7 @@
 	seeds     []uint64
 	entries   int
 	duration  time.Duration
+	distance  time.Duration
 	// arguments are handed to every entry host.
 	arguments []string
 }
@@ -64,6 +65,11 @@
 	return func(b *Bencher) { b.duration = duration }
 }
 
+// WithDistance sets what bytes take one way between regions in Noisy and Zone, in whole milliseconds; none by default.
+func WithDistance(oneWay time.Duration) Option {
+	return func(b *Bencher) { b.distance = oneWay }
+}
+
 // WithEntryArguments hands further arguments to every entry host.
 func WithEntryArguments(arguments ...string) Option {
 	return func(b *Bencher) { b.arguments = append(b.arguments, arguments...) }
--- a/tests/bencher/noisy.go
+++ b/tests/bencher/noisy.go
@@ -83,6 +83,7 @@
 		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithEntries(b.entries),
 		fleet.WithPolicy(policy),
+		fleet.WithDistance(b.distance),
 		fleet.WithEndpointArguments(noisyEndpoints...),
 		fleet.WithEndpointArguments("--seed", fmt.Sprint(load.Seed)),
 	)
--- a/tests/bencher/zone.go
+++ b/tests/bencher/zone.go
@@ -59,6 +59,7 @@
 		fleet.WithEntries(b.entries),
 		fleet.WithEntryArguments(b.arguments...),
 		fleet.WithPolicy(policy),
+		fleet.WithDistance(b.distance),
 		fleet.WithEndpointArguments(coldEndpoints...),
 		fleet.WithEndpointArguments("--seed", fmt.Sprint(load.Seed)),
 	)
