--- a/tests/bencher/noisy.go
+++ b/tests/bencher/noisy.go
@@ -99,7 +99,7 @@
 
 // sayCounters tells what explains a tail, counted since the start of the entry hosts.
 func (b *Bencher) sayCounters(ctx context.Context, running *fleet.Fleet) error {
-	for _, name := range []string{"hedge_sent", "hedge_denied", "bound_alone", "retry_sent"} {
+	for _, name := range []string{"hedge_sent", "hedge_denied", "bound_alone", "retry_sent", "spilled", "bind_refused", "bind_expired", "control_unsent"} {
 		count, err := counted(ctx, running, metricPrefix+name)
 		if err != nil {
 			return err
