Let a full region's own work go before what spills into it

Change: a request that one group refused asks the next with the lowest urgency. A class whose own region has no open endpoint, or whose home is elsewhere, keeps its urgency, as no group refused it.

Seen to fail first: TestSpilledWorkYieldsToTheRegionsOwn (the spilled request got the credit). Five times under the race detector after: passed.

What is left is to spill only where the other region has room.

--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -25,7 +25,8 @@
 
 // Bind waits for an endpoint of the preferred group, and of the next ones when it has none in time.
 //
-// Its error is a refusal of a request that was not run.
+// A request that one group refused comes after the own work of the next. The error is a refusal of a request that
+// was not run.
 func (c *Coordinator) Bind(ctx context.Context, w wish.Wish) (binding.Binding, error) {
 	var refused error
 	for i, g := range w.Groups {
@@ -39,7 +40,10 @@
 		}
 		r := &request{coordinator: c, group: g, cell: in, wish: w, askedAt: now}
 		if i < len(w.Groups)-1 {
-			r.wish = w.WithUntil(patience(now, w.Until))
+			r.wish = r.wish.WithUntil(patience(now, w.Until))
+		}
+		if refused != nil {
+			r.wish = r.wish.WithUrgency(wish.Low)
 		}
 		r.ask(now)
 		in.mu.Unlock()
