--- a/tests/bench/main.go
+++ b/tests/bench/main.go
@@ -24,6 +24,7 @@
 	seeds     []uint64
 	entries   int
 	duration  time.Duration
+	distance  time.Duration
 	arguments []string
 	// chosen is what the experiment zone runs.
 	chosen choice.Choice
@@ -56,6 +57,7 @@
 	parser.Int(&s.entries, "", "entries", "number of entry hosts")
 	parser.Duration(&s.duration, "", "duration", "time of each run in place of its scenario's; 0s keeps it")
 	parser.Float64(&s.rate, "", "rate", "requests a second that --only zone offers in place of its scenario's; 0 keeps it")
+	parser.Duration(&s.distance, "", "distance", "time that bytes take one way between regions in noisy and zone, whole ms such as 12ms; 0s for none")
 	parser.StringSlice(&s.arguments, "", "entry-argument", "argument for every entry host, such as --entry-argument=--hedge-share=0.1; repeat for more")
 	if err := parser.Parse(given); err != nil {
 		return err
@@ -81,13 +83,16 @@
 	if s.rate > 0 && s.only != "zone" {
 		return errors.Wrapf(arguments.ErrFlag, "--rate: value %v, allowed: 0, or another with --only zone", s.rate)
 	}
+	if s.distance < 0 || s.distance%time.Millisecond != 0 {
+		return errors.Wrapf(arguments.ErrFlag, "--distance: value %s, allowed: whole milliseconds, 0s or more", s.distance)
+	}
 	return nil
 }
 
 func run(ctx context.Context, s settings) error {
 	options := []bencher.Option{
 		bencher.WithEntries(s.entries), bencher.WithDuration(s.duration), bencher.WithEntryArguments(s.arguments...),
-		bencher.WithZoneChoice(s.chosen), bencher.WithZoneRate(s.rate),
+		bencher.WithDistance(s.distance), bencher.WithZoneChoice(s.chosen), bencher.WithZoneRate(s.rate),
 	}
 	if len(s.policies) > 0 {
 		options = append(options, bencher.WithPolicies(s.policies...))
--- a/tests/bencher/bencher.go
+++ b/tests/bencher/bencher.go
@@ -40,6 +40,7 @@
 	seeds     []uint64
 	entries   int
 	duration  time.Duration
+	distance  time.Duration
 	// arguments are handed to every entry host.
 	arguments []string
 	// zoneChoice is what runs while an availability zone leaves and returns.
@@ -81,6 +82,11 @@
 	return func(b *Bencher) { b.zoneRate = ratePerS }
 }
 
+// WithDistance sets what bytes take one way between regions in Noisy and Zone, in whole milliseconds; none by default.
+func WithDistance(oneWay time.Duration) Option {
+	return func(b *Bencher) { b.distance = oneWay }
+}
+
 // WithEntryArguments hands further arguments to every entry host.
 func WithEntryArguments(arguments ...string) Option {
 	return func(b *Bencher) { b.arguments = append(b.arguments, arguments...) }
