Grant to the owner's own requests while the budget holds no message

A credit that waits for the budget keeps its endpoint idle.

Change: while the budget leaves less than a message, the owner grants to its own requests only, which takes no messages; the rights of others wait. The floor left to what is asked for is a fourth of the budget, so that it holds a message also at 512 bytes a second.

--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -101,13 +101,16 @@
 func (l *Lender) answer(now time.Time) []credit.Credit {
 	l.expire(now)
 	var credits []credit.Credit
-	for l.waiting.Len() > 0 {
+	for l.isGrantable() {
 		c := l.choose(now)
 		if c.isEmpty() {
 			break
 		}
 		var chosen *endpoint
-		key, _, ok := l.waiting.Best(func(_ right, excluded string, urgency int) bool {
+		key, _, ok := l.waiting.Best(func(key right, excluded string, urgency int) bool {
+			if l.reserved != "" && l.reserved != key.borrower {
+				return false
+			}
 			chosen = c.pick(excluded, urgency)
 			return chosen != nil
 		})
@@ -119,6 +122,14 @@
 	return credits
 }
 
+// isGrantable reports whether a right waits that may be granted.
+func (l *Lender) isGrantable() bool {
+	if l.reserved != "" {
+		return l.account(l.reserved).waiting > 0
+	}
+	return l.waiting.Len() > 0
+}
+
 func (l *Lender) lend(now time.Time, key right, e *endpoint) credit.Credit {
 	l.grants++
 	e.lend(key.borrower)
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -28,6 +28,8 @@
 	recallInterval time.Duration
 
 	coldUntil time.Time
+	// reserved is the only borrower that is granted anything, empty for all.
+	reserved  string
 	endpoints map[string]*endpoint
 	// ordered holds the endpoints by id, so that one trace has one outcome.
 	ordered  []*endpoint
@@ -77,6 +79,11 @@
 	l.coldUntil = until
 }
 
+// Reserve grants rights to one borrower only, or to all again when it is empty; the others' rights wait.
+func (l *Lender) Reserve(borrower string) {
+	l.reserved = borrower
+}
+
 // Demand queues the rights that a borrower asks for; a right that was answered already gets the same answer again.
 func (l *Lender) Demand(now time.Time, d demand.Demand) []credit.Credit {
 	if d.IsExpired(now) {
--- a/lib/pacer/options.go
+++ b/lib/pacer/options.go
@@ -11,7 +11,10 @@
 type Option func(*Pacer)
 
 // floorShare is the part of the budget that charges leave to the messages that are asked for.
-const floorShare = 0.125
+const floorShare = 0.25
+
+// messageBytes is what a common message takes with its framing.
+const messageBytes = 48
 
 // maxDebt is for how long charges may use up the budget ahead; what exceeds it is overspent.
 const maxDebt = time.Second
--- a/lib/pacer/pacer.go
+++ b/lib/pacer/pacer.go
@@ -99,6 +99,12 @@
 	p.floor -= bytes - first
 }
 
+// IsShort reports whether hardly a message is left.
+func (p *Pacer) IsShort(now time.Time) bool {
+	p.fill(now)
+	return p.left() < messageBytes
+}
+
 // Wait returns how long until the budget allows a message of the given size if no other is sent before.
 func (p *Pacer) Wait(now time.Time, bytes int) time.Duration {
 	p.fill(now)
--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -51,6 +51,8 @@
 	settling []settlement
 	// ownerHold is how long the owner last wanted credits to be kept.
 	ownerHold time.Duration
+	// short says that the control budget hardly leaves a message for others.
+	short bool
 	// unsent holds the frames that could not be sent yet and that nothing would send again.
 	unsent []effect.Outgoing
 	// owned is nil unless this host owns the group.
@@ -126,6 +128,21 @@
 	a.borrower.SetHold(d)
 }
 
+// SetShort says whether the control budget hardly leaves a message for others.
+//
+// An owner then grants to its own requests only, since a credit that waits to be sent keeps its endpoint idle.
+func (a *Arbiter) SetShort(short bool) {
+	a.short = short
+	if a.owned == nil {
+		return
+	}
+	reserved := ""
+	if short {
+		reserved = a.self
+	}
+	a.owned.lender.Reserve(reserved)
+}
+
 // SetOrphanFor sets how long the credits of a lost borrower, or of a lost ownership, count as in use.
 func (a *Arbiter) SetOrphanFor(d time.Duration) {
 	a.orphanFor = d
--- a/poplarhook/services/coordinator/coordinator.go
+++ b/poplarhook/services/coordinator/coordinator.go
@@ -54,6 +54,7 @@
 	orphanFor    time.Duration
 	count        func(event string)
 	coldRight    func(now time.Time, g group.Group, wanted bool) (until time.Time)
+	isShort      func(now time.Time) bool
 	lastID       atomic.Uint64
 
 	mu    sync.RWMutex
@@ -100,6 +101,11 @@
 	return func(c *Coordinator) { c.coldRight = right }
 }
 
+// WithShort sets what tells whether the control budget hardly leaves a message for others; it is asked often.
+func WithShort(isShort func(now time.Time) bool) Option {
+	return func(c *Coordinator) { c.isShort = isShort }
+}
+
 const (
 	defaultOwnerTimeout = 25 * time.Millisecond
 	defaultOrphanFor    = 2 * time.Second
@@ -120,6 +126,7 @@
 		orphanFor:    defaultOrphanFor,
 		count:        func(string) {},
 		coldRight:    func(time.Time, group.Group, bool) time.Time { return time.Time{} },
+		isShort:      func(time.Time) bool { return false },
 		cells:        make(map[group.Group]*cell),
 		byNumber:     make(map[uint32]group.Group),
 		hold:         defaultHold,
@@ -238,9 +245,11 @@
 	for _, outgoing := range e.Frames {
 		err := c.link.Send(outgoing.To, outgoing.Frame)
 		if err == nil {
+			c.count("control_sent_" + kindOf(outgoing.Frame))
 			continue
 		}
 		c.count("control_unsent")
+		c.count("control_unsent_" + kindOf(outgoing.Frame))
 		if !errors.Is(err, linker.ErrNotConnected) {
 			in.arbiter.Unsent(outgoing.To, outgoing.Frame)
 		}
@@ -248,3 +257,26 @@
 	}
 	return sent
 }
+
+// kindOf names the kind of a frame in counters.
+func kindOf(frame *wire.Frame) string {
+	switch frame.GetBody().(type) {
+	case *wire.Frame_Demand:
+		return "demand"
+	case *wire.Frame_Credit:
+		if frame.GetCredit().GetCold() {
+			return "cold_credit"
+		}
+		return "credit"
+	case *wire.Frame_Release:
+		return "release"
+	case *wire.Frame_Recall:
+		return "recall"
+	case *wire.Frame_Holding:
+		return "holding"
+	case *wire.Frame_Sighting:
+		return "sighting"
+	default:
+		return "other"
+	}
+}
--- a/poplarhook/services/coordinator/peers.go
+++ b/poplarhook/services/coordinator/peers.go
@@ -35,6 +35,7 @@
 	defer in.mu.Unlock()
 	c.activate(in)
 	c.notice(now, in)
+	in.arbiter.SetShort(c.isShort(now))
 	c.perform(now, in, in.arbiter.Receive(now, from, frame))
 }
 
@@ -176,6 +177,7 @@
 	if owner := c.members.Owner(now, g); owner != in.arbiter.Owner() {
 		c.perform(now, in, in.arbiter.SetOwner(now, owner, c.provedIn(g)))
 	}
+	in.arbiter.SetShort(c.isShort(now))
 	if in.arbiter.IsOwner() {
 		until := c.coldRight(now, g, in.arbiter.NeedsCold(now))
 		c.perform(now, in, in.arbiter.AllowCold(now, until))
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -169,6 +169,7 @@
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
 		coordinator.WithOrphanFor(lender.ColdValidity+s.ColdDeadline),
 		coordinator.WithColdRight(e.coldRight),
+		coordinator.WithShort(e.governor.IsShort),
 		coordinator.WithCounter(e.meter.Count))
 	e.prober = prober.New(e.sender, e.coordinator, e.governor, s.ProbeInterval, e.clock, e.meter.Count)
 	e.dispatcher = e.newDispatcher()
--- a/poplarhook/services/governor/governor.go
+++ b/poplarhook/services/governor/governor.go
@@ -47,6 +47,13 @@
 	g.pacer.Charge(now, bytes)
 }
 
+// IsShort reports whether the budget hardly leaves a message now.
+func (g *Governor) IsShort(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pacer.IsShort(now)
+}
+
 // Spending returns what control traffic has cost so far.
 func (g *Governor) Spending() spending.Spending {
 	g.mu.Lock()
