Send neither recalls nor acknowledgements while the budget is short

Cause, by control_unsent_KIND at 2048 and 1024 bytes a second: 75157 and 65266 refused sendings were warm credits, most of them acknowledgements that only say that credits are scarce, and recalls that bring credits back which the owner cannot send on.

Change: an owner whose budget holds no message sends neither, so that hosts keep their credits for the hold and bind alone when the owner is silent.

No grant is changed.

--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -149,6 +149,9 @@
 // recall asks those who hold idle credits for them while others wait.
 func (a *Arbiter) recall(now time.Time) effect.Effect {
 	var e effect.Effect
+	if a.short {
+		return e
+	}
 	for _, peer := range a.owned.lender.Recalls(now) {
 		if peer == a.self {
 			e.Add(a.act(now, a.borrower.Recall(now)))
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -86,7 +86,7 @@
 	a.owned.noteDemand(now, asked)
 	credits := a.owned.lender.Demand(now, asked)
 	e := a.deliver(now, credits)
-	if !isAnswered(credits, from) && a.owned.mayAcknowledge(now, from) {
+	if !a.short && !isAnswered(credits, from) && a.owned.mayAcknowledge(now, from) {
 		e.Send(from, &wire.Frame{Body: &wire.Frame_Credit{Credit: &wire.Credit{Group: a.group.Number(), Scarce: true}}})
 	}
 	e.Add(a.recall(now))
