Keep heartbeats under half of the control budget where they can be

Cause: heartbeats of 15 hosts name members at up to 1000 bytes a second however small the control budget is; at 512 and 1024 bytes a second a host sent 1254 and 1351, and up to 100323 bytes of 15 hosts were overspent.

Change: the bytes that heartbeats should cost are half of the control budget at most, 4500 as before otherwise.

--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -142,7 +142,8 @@
 		AdminAddress:     self.AdminAddress,
 	}, options...)
 	e.heartbeats = heartbeater.New(e.roster, e.links, heartbeater.WithLogger(e.logger),
-		heartbeater.WithScheduler(scheduler.New(self, scheduler.WithInterval(s.HeartbeatInterval))))
+		heartbeater.WithScheduler(scheduler.New(self, scheduler.WithInterval(s.HeartbeatInterval),
+			scheduler.WithBudget(min(heartbeatBudget, s.ControlBudget/heartbeatShare)))))
 	e.assigner = assigner.New(e.roster, s.ColdShards)
 	e.warden = warden.New(e.store, self.ID+"/"+self.Incarnation, s.LeaseTTL, lender.ColdValidity, s.ColdDeadline, e.clock,
 		func(now time.Time, shard string) bool { return e.assigner.OwnerOfShard(now, shard) == self.ID })
@@ -155,6 +156,13 @@
 	return nil
 }
 
+const (
+	// heartbeatBudget is what heartbeats should cost at most, in bytes per second.
+	heartbeatBudget = 4500
+	// heartbeatShare is the part of the control budget that they should stay under, as far as they can.
+	heartbeatShare = 2
+)
+
 // remoteTimes is how much longer a host of another region may be silent than one of the own.
 const remoteTimes = 3
 
