--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -39,7 +39,7 @@
 		}
 		r := &request{coordinator: c, group: g, cell: in, wish: w, askedAt: now}
 		if i < len(w.Groups)-1 {
-			r.wish = w.WithUntil(patience(now, w.Until, in.arbiter.IsCoarse()))
+			r.wish = w.WithUntil(patience(now, w.Until))
 		}
 		if endpoint, ok := r.preferAlone(now); ok {
 			in.mu.Unlock()
@@ -66,13 +66,9 @@
 	return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint is open").WithRetryAfter(retryAfter)
 }
 
-// patience is until when a request waits for its preferred group before another region helps, longer where messages are dear.
-func patience(now, until time.Time, coarse bool) time.Time {
-	wait := until.Sub(now) / patienceShare
-	if coarse {
-		wait = until.Sub(now) - wait
-	}
-	return now.Add(wait)
+// patience is until when a request waits for its preferred group before another region helps.
+func patience(now, until time.Time) time.Time {
+	return now.Add(until.Sub(now) / patienceShare)
 }
 
 // Finish ends a bond with what the exchange showed.
