--- a/tests/failures/budget_test.go
+++ b/tests/failures/budget_test.go
@@ -33,7 +33,7 @@
 
 // What each host sends for control, heartbeats included, stays within its budget at the socket under a load that would like more.
 func TestControlTrafficStaysWithinItsBudget(t *testing.T) {
-	for _, controlBudget := range []float64{4096} {
+	for _, controlBudget := range []float64{4096, 1024} {
 		t.Run(fmt.Sprint(controlBudget), func(t *testing.T) { checkBudget(t, controlBudget) })
 	}
 }
