Grant to those with the fewest credits first while the budget is coarse

Change: while the owner's hold is half a second or longer, equally urgent rights are granted first to the borrowers that have the fewest credits, so that each credit makes endpoints known to a host that knows few.

Tests: TestEvenLendingServesFirstWhoHasLeast, whose first case is what was done before. The tests of lender, borrower, warmer, pacer, arbiter and coordinator and `go test -count=1 -run 'ColdEndpoints|Budget' ./failures` pass.

--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -106,15 +106,8 @@
 		if c.isEmpty() {
 			break
 		}
-		var chosen *endpoint
-		key, _, ok := l.waiting.Best(func(key right, excluded string, urgency int) bool {
-			if l.reserved != "" && l.reserved != key.borrower {
-				return false
-			}
-			chosen = c.pick(excluded, urgency)
-			return chosen != nil
-		})
-		if !ok {
+		key, chosen := l.next(c)
+		if chosen == nil {
 			break
 		}
 		credits = append(credits, l.lend(now, key, chosen))
@@ -122,6 +115,23 @@
 	return credits
 }
 
+// next returns the right to grant next and the endpoint for it, nil for none.
+func (l *Lender) next(c choice) (next right, chosen *endpoint) {
+	level := 0
+	l.waiting.Best(func(key right, excluded string, urgency int) bool {
+		if l.reserved != "" && l.reserved != key.borrower {
+			return false
+		}
+		e := c.pick(excluded, urgency)
+		if e == nil || chosen != nil && (urgency != level || l.account(key.borrower).held >= l.account(next.borrower).held) {
+			return false
+		}
+		next, chosen, level = key, e, urgency
+		return !l.even
+	})
+	return next, chosen
+}
+
 // isGrantable reports whether a right waits that may be granted.
 func (l *Lender) isGrantable() bool {
 	if l.reserved != "" {
--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -29,7 +29,9 @@
 
 	coldUntil time.Time
 	// reserved is the only borrower that is granted anything, empty for all.
-	reserved  string
+	reserved string
+	// even says that those who have least are granted first.
+	even      bool
 	endpoints map[string]*endpoint
 	// ordered holds the endpoints by id, so that one trace has one outcome.
 	ordered  []*endpoint
@@ -84,6 +86,11 @@
 	l.reserved = borrower
 }
 
+// SetEven grants equally urgent rights to those first who have the fewest credits, not by their deadlines.
+func (l *Lender) SetEven(even bool) {
+	l.even = even
+}
+
 // Demand queues the rights that a borrower asks for; a right that was answered already gets the same answer again.
 func (l *Lender) Demand(now time.Time, d demand.Demand) []credit.Credit {
 	if d.IsExpired(now) {
--- a/lib/lender/reserve_test.go
+++ b/lib/lender/reserve_test.go
@@ -32,3 +32,23 @@
 	qt.Check(t, granted[0].Borrower, qt.Equals, "peer")
 	qt.Check(t, l.Lent(), qt.Equals, 2)
 }
+
+func TestEvenLendingServesFirstWhoHasLeast(t *testing.T) {
+	for _, test := range []struct {
+		even  bool
+		first string
+	}{{false, "rich"}, {true, "poor"}} {
+		now := time.Unix(1000, 0)
+		l := lender.New()
+		l.SetCapacities(now, []capacity.Capacity{{Endpoint: "warm", Limit: 2, Open: true}})
+		until := now.Add(time.Second)
+		l.Demand(now, demand.Demand{Borrower: "rich", Sequence: 1, Count: 1, Until: until})
+		l.Demand(now, demand.Demand{Borrower: "else", Sequence: 1, Count: 1, Until: until})
+		l.SetEven(test.even)
+		l.Demand(now, demand.Demand{Borrower: "rich", Sequence: 2, Count: 1, Until: until})
+		l.Demand(now, demand.Demand{Borrower: "poor", Sequence: 1, Count: 1, Until: until.Add(time.Second)})
+		granted := l.Release(now, "else", "warm", 1)
+		qt.Assert(t, granted, qt.HasLen, 1)
+		qt.Check(t, granted[0].Borrower, qt.Equals, test.first)
+	}
+}
--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -141,6 +141,7 @@
 		reserved = a.self
 	}
 	a.owned.lender.Reserve(reserved)
+	a.owned.lender.SetEven(a.hold >= coarseHold)
 }
 
 // SetOrphanFor sets how long the credits of a lost borrower, or of a lost ownership, count as in use.
