Test the bounds of endpoints while control budgets are short

The property tests of the arbiter never had a short budget or a long hold. Two new ones change both at random at random hosts: one owner with all bounds, and owners that change with the bound of cold endpoints.

--- a/poplarhook/services/arbiter/short_test.go
+++ b/poplarhook/services/arbiter/short_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"poplarhook.example/lib/wire"
 )
@@ -26,3 +28,41 @@
 	a.SetShort(false)
 	c.Check(creditsOf(a.Tick(at(ms+2))), quicktest.Not(quicktest.HasLen), 0)
 }
+
+// spend changes now and then how much a host's control budget leaves.
+func (w *world) spend(t *rapid.T) {
+	a := w.arbiters[rapid.SampledFrom(w.hosts).Draw(t, "spender")]
+	if a == nil || rapid.IntRange(0, 9).Draw(t, "spend") > 0 {
+		return
+	}
+	a.SetShort(rapid.Bool().Draw(t, "short"))
+	a.SetHold(rapid.SampledFrom([]time.Duration{0, 5 * time.Millisecond, time.Second}).Draw(t, "hold"))
+}
+
+// TestEndpointsAreNotOverloadedUnderShortBudgets keeps one owner on which all agree.
+func TestEndpointsAreNotOverloadedUnderShortBudgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(threeHosts, twoEndpoints)
+		for _, id := range w.hosts {
+			w.setOwner(id, "e0")
+		}
+		for range 300 {
+			w.spend(t)
+			w.step(t, steadyEvents, false)
+			w.check(t, true)
+		}
+	})
+}
+
+// TestColdEndpointsAreNotOverloadedUnderShortBudgets lets every host change its mind about the owner at any time.
+func TestColdEndpointsAreNotOverloadedUnderShortBudgets(t *testing.T) {
+	events := append([]string{"owner"}, steadyEvents...)
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(threeHosts, twoEndpoints)
+		for range 300 {
+			w.spend(t)
+			w.step(t, events, true)
+			w.check(t, false)
+		}
+	})
+}
