--- a/lib/lender/choice.go
+++ b/lib/lender/choice.go
@@ -107,20 +107,13 @@
 func (l *Lender) answer(now time.Time) []credit.Credit {
 	l.expire(now)
 	var credits []credit.Credit
-	for l.waiting.Len() > 0 {
+	for l.isGrantable() {
 		c := l.choose(now)
 		if c.isEmpty() {
 			break
 		}
-		var chosen *endpoint
-		key, _, ok := l.waiting.Best(func(_ right, asked wanted, urgency int) bool {
-			chosen = c.pick(asked.excluded, urgency)
-			if chosen == nil && l.isImpatient(now, asked) {
-				chosen = c.beyond.pick(asked.excluded)
-			}
-			return chosen != nil
-		})
-		if !ok {
+		key, chosen := l.next(now, c)
+		if chosen == nil {
 			break
 		}
 		credits = append(credits, l.lend(now, key, chosen))
@@ -128,6 +121,34 @@
 	return credits
 }
 
+// next returns the right to grant next and the endpoint for it, nil for none.
+func (l *Lender) next(now time.Time, c choice) (next right, chosen *endpoint) {
+	level := 0
+	l.waiting.Best(func(key right, asked wanted, urgency int) bool {
+		if l.reserved != "" && l.reserved != key.borrower {
+			return false
+		}
+		e := c.pick(asked.excluded, urgency)
+		if e == nil && l.isImpatient(now, asked) {
+			e = c.beyond.pick(asked.excluded)
+		}
+		if e == nil || chosen != nil && (urgency != level || l.account(key.borrower).held >= l.account(next.borrower).held) {
+			return false
+		}
+		next, chosen, level = key, e, urgency
+		return !l.even
+	})
+	return next, chosen
+}
+
+// isGrantable reports whether a right waits that may be granted.
+func (l *Lender) isGrantable() bool {
+	if l.reserved != "" {
+		return l.account(l.reserved).waiting > 0
+	}
+	return l.waiting.Len() > 0
+}
+
 func (l *Lender) lend(now time.Time, key right, e *endpoint) credit.Credit {
 	l.grants++
 	e.lend(key.borrower)
--- a/poplarhook/services/coordinator/coordinator_test.go
+++ b/poplarhook/services/coordinator/coordinator_test.go
@@ -311,7 +311,7 @@
 	warmUp(t, n, "e0", home)
 	warmUp(t, n, "e0", away)
 	var held []binding.Binding
-	for range 6 {
+	for range most {
 		_, err := bind(t, host, 5*time.Second, home)
 		c.Assert(err, quicktest.IsNil)
 		b, err := bind(t, host, 5*time.Second, away)
@@ -338,3 +338,14 @@
 	host.Finish(held[1], report.Report{Status: 200})
 	c.Assert(<-ends, quicktest.Equals, end{true, nil})
 }
+
+func TestHostOfACoarseBudgetBindsAloneBeforeItAsks(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNetwork(t, "e0", "e1")
+	warmUp(t, n, "e1", home)
+	n.hosts["e1"].SetHold(time.Second)
+	b, err := bind(t, n.hosts["e1"], 5*time.Second, home)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(b.Alone, quicktest.IsTrue)
+	n.hosts["e1"].Finish(b, report.Report{Status: 200})
+}
