--- a/poplarhook/modules/settings/settings.go
+++ b/poplarhook/modules/settings/settings.go
@@ -36,7 +36,7 @@
 
 	ControlBudget     int           `env:"CONTROL_BUDGET" envDefault:"65536" flag:"control-budget" unit:"bytes/s" help:"most that this host sends for control"`
 	HoldMax           time.Duration `env:"HOLD_MAX" envDefault:"5s" flag:"hold-max" unit:"duration" help:"longest time an idle credit is kept"`
-	HedgeShare        float64       `env:"HEDGE_SHARE" envDefault:"0.05" flag:"hedge-share" unit:"share" help:"most hedges per recent idempotent request"`
+	HedgeShare        float64       `env:"HEDGE_SHARE" envDefault:"0.1" flag:"hedge-share" unit:"share" help:"most hedges per recent idempotent request"`
 	RetryShare        float64       `env:"RETRY_SHARE" envDefault:"0.1" flag:"retry-share" unit:"share" help:"most retries per recent idempotent request"`
 	MaxBody           int64         `env:"MAX_BODY" envDefault:"1048576" flag:"max-body" unit:"bytes" help:"largest body of a request"`
 	MaxHeader         int           `env:"MAX_HEADER" envDefault:"32768" flag:"max-header" unit:"bytes" help:"largest head of a request"`
