Measure the processor time of hosts at rest in the cost bench

Cause: the cost bench gave the processor time of requests only, so that what a host spends without any was worked out from two loads, as 9 % of a core.

Change: the bench also reads the processor time of 5 s without load, gives it and that under load as a part of a core per host, and measures at 100 requests a second too.

--- a/tests/bencher/cost.go
+++ b/tests/bencher/cost.go
@@ -18,20 +18,25 @@
 const (
 	bytesPerMegabyte = 1 << 20
 	costSettle       = 2 * time.Second
+	// costRest is how long the hosts are measured without load.
+	costRest = 5 * time.Second
 )
 
 // costRates are the loads whose cost is measured, in requests per second over all entry hosts.
-var costRates = []float64{500, 1000, 2000}
+var costRates = []float64{100, 500, 1000, 2000}
 
 // expense is what one load has cost.
 type expense struct {
 	measured result.Result
+	settled  usage.Usage
 	atRest   usage.Usage
 	before   usage.Usage
 	after    usage.Usage
+	// span is the time from before to after.
+	span time.Duration
 }
 
-// Cost measures processor time for each request, and memory at rest and under load, at several rates.
+// Cost measures processor time for each request and at rest, and memory at rest and under load, at several rates.
 func (b *Bencher) Cost(ctx context.Context) error {
 	load, err := b.load("added")
 	if err != nil {
@@ -72,6 +77,12 @@
 		return spent, err
 	}
 	var err error
+	if spent.settled, err = running.Usage(); err != nil {
+		return spent, err
+	}
+	if err = wait(ctx, costRest); err != nil {
+		return spent, err
+	}
 	if spent.atRest, err = running.Usage(); err != nil {
 		return spent, err
 	}
@@ -81,23 +92,28 @@
 	if spent.before, err = running.Usage(); err != nil {
 		return spent, err
 	}
+	start := b.clock()
 	if spent.measured, err = b.measure(ctx, running, load, defaultPolicy); err != nil {
 		return spent, err
 	}
+	spent.span = b.clock().Sub(start)
 	spent.after, err = running.Usage()
 	return spent, err
 }
 
 func (b *Bencher) costTable(all []expense) error {
 	table := aligner.New()
-	table.Addf("rate_per_s\tserved\tprocessor_us per request\trequests per processor second\tMB at rest per host\tMB under load per host\tp99_ms\t")
-	hosts := float64(b.entries * bytesPerMegabyte)
+	table.Addf("rate_per_s\tserved\tprocessor_us per request\trequests per processor second\t%% of a core per host at rest\tunder load\tMB at rest per host\tMB under load per host\tp99_ms\t")
+	hosts := float64(b.entries)
 	for _, spent := range all {
 		processor := spent.after.Processor - spent.before.Processor
 		served := float64(spent.measured.Served)
-		table.Addf("%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.2f\t", spent.measured.RatePerS, served,
+		resting := spent.atRest.Processor - spent.settled.Processor
+		table.Addf("%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t", spent.measured.RatePerS, served,
 			float64(processor.Microseconds())/served, served/processor.Seconds(),
-			float64(spent.atRest.ResidentBytes)/hosts, float64(spent.after.ResidentBytes)/hosts, spent.measured.P99MS)
+			percentOf(resting.Seconds(), costRest.Seconds()*hosts), percentOf(processor.Seconds(), spent.span.Seconds()*hosts),
+			float64(spent.atRest.ResidentBytes)/bytesPerMegabyte/hosts, float64(spent.after.ResidentBytes)/bytesPerMegabyte/hosts,
+			spent.measured.P99MS)
 	}
 	b.say("\ncost of %d entry hosts together", b.entries)
 	_, err := table.WriteTo(b.out)
