Take a kept connection without waking its watch

Cause: before each request on a kept connection the watch over it was ended through two deadlines and three hand-offs between goroutines (a goroutine that sets the deadline, the watch, the request), in the way of the request.

Change: the watch waits for the socket to be readable and takes nothing from it. To use the connection, the request marks the watch as stopped and looks at the socket itself, as it did before; what the endpoint closed or sent unasked lies there. The watch ends at the answer's first byte, or when the connection is interrupted or closed, and the request reads its end then. A connection on which nothing was sent ends its watch by a deadline as before.

--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	if !sendBy.IsZero() && !e.clock().Before(sendBy) {
-		e.keep(l) //nolint:contextcheck // the watch over an idle connection outlives the request
+		e.putBack(l) //nolint:contextcheck // the watch over an idle connection outlives the request
 		return nil, errors.Wrapf(ErrHeldBack, "the right to send to %s ended at %s", e.address, sendBy)
 	}
 	stop := l.interruptOn(ctx)
@@ -201,7 +201,12 @@
 		e.unreserve()
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", e.address, err)
 	}
-	l := newLink(conn, e.clock())
+	l, err := newLink(conn, e.clock())
+	if err != nil {
+		conn.Close()
+		e.unreserve()
+		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", e.address, err)
+	}
 	if reuseOnly && !e.hasQuiet() {
 		e.discard(l)
 		return nil, errors.Wrapf(ErrHeldBack, "no older connection to %s is open", e.address)
@@ -307,6 +312,15 @@
 	return true
 }
 
+// putBack makes a connection idle again on which nothing was sent.
+func (e *Exchanger) putBack(l *link) {
+	if err := l.endWatch(); err != nil {
+		e.discard(l)
+		return
+	}
+	e.keep(l)
+}
+
 // keep makes a connection idle, or closes it when enough are kept.
 func (e *Exchanger) keep(l *link) {
 	l.proved = e.clock()
--- a/poplarhook/modules/exchanger/exchanger_test.go
+++ b/poplarhook/modules/exchanger/exchanger_test.go
@@ -261,3 +261,74 @@
 	response.Body.Close()
 	c.Assert(fake.count(), quicktest.Equals, 2)
 }
+
+// Bytes that came on an idle connection before a request must not pass for its answer.
+func TestUnaskedAnswerIsNeverTakenForOne(t *testing.T) {
+	c := quicktest.New(t)
+	answered, spoken := make(chan struct{}), make(chan struct{})
+	fake := newWireFake(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		say(conn, whole)
+		if n%2 == 1 {
+			<-answered
+			say(conn, strings.Replace(whole, "ok", "no", 1))
+			spoken <- struct{}{}
+		}
+		return true
+	})
+	e := exchanger.New(fake.listener.Addr().String())
+	for range 50 {
+		_, err := exchange(t, e, newRequest(t, http.MethodGet))
+		c.Assert(err, quicktest.IsNil)
+		answered <- struct{}{}
+		<-spoken
+		body, err := exchange(t, e, newRequest(t, http.MethodGet))
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(body, quicktest.Equals, "ok")
+	}
+}
+
+// A connection on which nothing was sent, since the right to send had ended, is watched and used as before.
+func TestConnectionPutBackIsStillWatched(t *testing.T) {
+	c := quicktest.New(t)
+	closeNow := make(chan struct{})
+	fake := newWireFake(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		say(conn, whole)
+		if n == 2 {
+			<-closeNow
+			return false
+		}
+		return true
+	})
+	lost := make(chan string, 1)
+	e := exchanger.New(fake.listener.Addr().String(), exchanger.WithLostHook(func(address string) { lost <- address }))
+	_, err := exchange(t, e, newRequest(t, http.MethodGet))
+	c.Assert(err, quicktest.IsNil)
+	_, err = e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, time.Now(), false)
+	c.Assert(errors.Is(err, exchanger.ErrHeldBack), quicktest.IsTrue)
+	c.Assert(e.Counts().IdleNow, quicktest.Equals, 1)
+	_, err = exchange(t, e, newRequest(t, http.MethodGet))
+	c.Assert(err, quicktest.IsNil)
+	_, err = e.Exchange(context.Background(), newRequest(t, http.MethodGet), time.Minute, time.Now(), false)
+	c.Assert(errors.Is(err, exchanger.ErrHeldBack), quicktest.IsTrue)
+	close(closeNow)
+	c.Assert(<-lost, quicktest.Equals, fake.listener.Addr().String())
+	c.Assert(e.Counts().Dialed, quicktest.Equals, uint64(1))
+	c.Assert(e.Counts().OpenNow, quicktest.Equals, 0)
+}
+
+// A request whose context ends while the answer is awaited on a reused connection ends with it.
+func TestReusedConnectionIsInterrupted(t *testing.T) {
+	c := quicktest.New(t)
+	fake := newWireFake(t, func(n int, conn net.Conn, _ *http.Request) bool { return n > 1 || say(conn, whole) })
+	e := exchanger.New(fake.listener.Addr().String())
+	_, err := exchange(t, e, newRequest(t, http.MethodGet))
+	c.Assert(err, quicktest.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	startedAt := time.Now()
+	_, err = e.Exchange(ctx, newRequest(t, http.MethodGet), time.Minute, time.Time{}, false)
+	c.Assert(errors.Is(err, exchanger.ErrBroken), quicktest.IsTrue)
+	c.Assert(time.Since(startedAt) < 2*time.Second, quicktest.IsTrue)
+	c.Assert(e.Counts().Reused, quicktest.Equals, uint64(1))
+	c.Assert(e.Counts().OpenNow, quicktest.Equals, 0)
+}
--- a/poplarhook/modules/exchanger/link.go
+++ b/poplarhook/modules/exchanger/link.go
@@ -5,15 +5,14 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// errUnasked says that bytes arrived on a connection without a request.
-var errUnasked = errors.New("endpoint spoke unasked")
+// errUnasked says that the endpoint closed a connection or spoke on it without a request.
+var errUnasked = errors.New("endpoint closed or spoke unasked")
 
 // longAgo is a deadline that interrupts every read and write at once.
 var longAgo = time.Unix(1, 0)
@@ -21,15 +20,25 @@
 // link is one connection to the endpoint.
 type link struct {
 	conn   net.Conn
+	socket syscall.RawConn
 	reader *bufio.Reader
 	proved time.Time
-	// stopWatch and watched belong to the watch over an idle connection.
+	// stopWatch and watched belong to the watch over an idle connection; watched is nil while there is none.
 	stopWatch context.CancelFunc
 	watched   chan error
 }
 
-func newLink(conn net.Conn, now time.Time) *link {
-	return &link{conn: conn, reader: bufio.NewReader(conn), proved: now}
+// newLink returns a link over the connection, without a watch.
+func newLink(conn net.Conn, now time.Time) (*link, error) {
+	holder, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Errorf("connection of type %T has no socket", conn)
+	}
+	socket, err := holder.SyscallConn()
+	if err != nil {
+		return nil, errors.Wrap(err, "socket")
+	}
+	return &link{conn: conn, socket: socket, reader: bufio.NewReader(conn), proved: now}, nil
 }
 
 // interruptOn makes the link fail when the context ends, until stop is called.
@@ -50,7 +59,12 @@
 }
 
 // receive reads the head of the final answer, passing over interim ones.
+//
+// A watch that is still there ends at the answer's first byte, or when the link is interrupted or closed.
 func (l *link) receive(request *http.Request) (*http.Response, error) {
+	if err := l.awaitWatch(); err != nil {
+		return nil, err
+	}
 	for {
 		response, err := http.ReadResponse(l.reader, request)
 		if err != nil {
@@ -73,50 +87,56 @@
 	go func() { l.watched <- l.await(ctx, lost) }()
 }
 
-// await returns nil when the watch is stopped before anything arrives.
+// await waits until there is something to read and takes none of it; what comes after the watch was stopped is no loss.
 func (l *link) await(ctx context.Context, lost func(*link)) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.SetReadDeadline(longAgo) })
-	defer stop()
-	_, err := l.reader.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil {
-		return nil
-	}
-	if err == nil {
-		err = errUnasked
-	}
+	_ = l.socket.Read(func(fd uintptr) bool { return ctx.Err() != nil || !hasNothing(fd) })
 	if ctx.Err() == nil {
 		lost(l)
+		return errUnasked
 	}
-	return err
+	return nil
 }
 
-// unwatch ends the watch; its error says that the connection must not be used.
+// unwatch stops the watch without waiting for its end; its error says that the connection must not be used.
 func (l *link) unwatch() error {
 	l.stopWatch()
-	if err := <-l.watched; err != nil {
-		return err
-	}
 	if !l.isQuiet() {
 		return errUnasked
 	}
-	return l.conn.SetReadDeadline(time.Time{})
+	return nil
 }
 
-// isQuiet looks at the socket itself: a watch that was stopped in time may not have come to see what lies there.
-func (l *link) isQuiet() bool {
-	syscallConn, ok := l.conn.(syscall.Conn)
-	if !ok {
-		return true
+// awaitWatch waits for the end of a watch that was stopped; its error says that the watch ended before that.
+func (l *link) awaitWatch() error {
+	if l.watched == nil {
+		return nil
 	}
-	raw, err := syscallConn.SyscallConn()
-	if err != nil {
-		return false
+	err := <-l.watched
+	l.watched = nil
+	return err
+}
+
+// endWatch ends a watch that was stopped before anything could be read.
+func (l *link) endWatch() error {
+	if err := l.conn.SetReadDeadline(longAgo); err != nil {
+		return err
 	}
+	if err := l.awaitWatch(); err != nil {
+		return err
+	}
+	return l.conn.SetReadDeadline(time.Time{})
+}
+
+// isQuiet reports whether the connection is open and has nothing to read.
+func (l *link) isQuiet() bool {
 	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var probe [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(recvErr, syscall.EAGAIN)
-	})
+	err := l.socket.Control(func(fd uintptr) { quiet = hasNothing(fd) })
 	return err == nil && quiet
 }
+
+// hasNothing reports whether reading from the socket would wait; it takes nothing from it.
+func hasNothing(fd uintptr) bool {
+	var probe [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return errors.Is(err, syscall.EAGAIN)
+}
