--- a/tests/bencher/cost.go
+++ b/tests/bencher/cost.go
@@ -81,7 +81,7 @@
 	if spent.settled, err = running.Usage(); err != nil {
 		return spent, err
 	}
-	if err = wait(ctx, costRest); err != nil {
+	if err = pauser.Pause(ctx, costRest); err != nil {
 		return spent, err
 	}
 	if spent.atRest, err = running.Usage(); err != nil {
