Keep what borrowers tell a new owner before it knows of its ownership

Cause: hosts learn of a change of owner at their own moments. What a borrower told the new owner (its holdings, warm endpoints and demands) before that one had noticed was dropped, so the new owner took warm endpoints for cold and waited for the lease. Change: a host that does not own a group keeps holdings, releases and demands for up to a second, in order and bounded, and takes them in when it becomes the owner; a first holding, a broken link or too many frames start anew.

--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -55,6 +55,8 @@
 	short bool
 	// unsent holds the frames that could not be sent yet and that nothing would send again.
 	unsent []effect.Outgoing
+	// early holds the frames for the owner that came before this host owned the group.
+	early []earlyFrame
 	// owned is nil unless this host owns the group.
 	owned *ownership
 }
--- /dev/null
+++ b/poplarhook/services/arbiter/early.go
@@ -0,0 +1,56 @@
+package arbiter
+
+import (
+	"slices"
+	"time"
+
+	"poplarhook.example/lib/wire"
+	"poplarhook.example/poplarhook/models/effect"
+)
+
+const (
+	// earlyFor is how long a frame for the owner is kept at a host that does not own the group yet.
+	earlyFor = time.Second
+	// maxEarly bounds the frames that are kept.
+	maxEarly = 512
+)
+
+// earlyFrame is a frame for the owner that came before this host knew that it owns the group.
+type earlyFrame struct {
+	from  string
+	frame *wire.Frame
+	at    time.Time
+}
+
+// keepEarly keeps what a borrower tells this host as the owner; its first holding starts anew.
+//
+// When too much comes, all is dropped, as a release that is missing would leave its credit lent.
+func (a *Arbiter) keepEarly(now time.Time, from string, frame *wire.Frame) {
+	if frame.GetHolding().GetFirst() {
+		a.dropEarly(from)
+	}
+	if len(a.early) >= maxEarly {
+		a.early = nil
+	}
+	a.early = append(a.early, earlyFrame{from: from, frame: frame, at: now})
+}
+
+// dropEarly forgets what a peer told as a borrower, since both sides count anew.
+func (a *Arbiter) dropEarly(peer string) {
+	a.early = slices.DeleteFunc(a.early, func(f earlyFrame) bool { return f.from == peer })
+}
+
+// receiveEarly takes in, as the owner, what came early; a borrower whose first frame is too old is left out whole.
+func (a *Arbiter) receiveEarly(now time.Time) effect.Effect {
+	early := a.early
+	a.early = nil
+	old := make(map[string]bool)
+	var e effect.Effect
+	for _, f := range early {
+		old[f.from] = old[f.from] || now.Sub(f.at) > earlyFor
+		if !old[f.from] {
+			e.Add(a.Receive(now, f.from, f.frame))
+		}
+	}
+	return e
+}
--- a/poplarhook/services/arbiter/owner.go
+++ b/poplarhook/services/arbiter/owner.go
@@ -26,7 +26,11 @@
 		a.owned = a.takeOver(now, proved)
 	}
 	a.SetHold(a.hold)
-	return a.restart(now, proved)
+	e := a.restart(now, proved)
+	if a.owned != nil {
+		e.Add(a.receiveEarly(now))
+	}
+	return e
 }
 
 // Relink starts anew with the same owner when the link to it breaks and when it is made again.
@@ -34,6 +38,7 @@
 	if a.owned != nil {
 		return effect.Effect{}
 	}
+	a.dropEarly(a.owner)
 	return a.restart(now, proved)
 }
 
@@ -120,6 +125,7 @@
 
 // PeerGone notes that the link to a peer broke; what it had in flight counts until the given time.
 func (a *Arbiter) PeerGone(now time.Time, peer string, until time.Time) effect.Effect {
+	a.dropEarly(peer)
 	if a.owned == nil {
 		return effect.Effect{}
 	}
--- a/poplarhook/services/arbiter/receive.go
+++ b/poplarhook/services/arbiter/receive.go
@@ -15,6 +15,10 @@
 
 // Receive takes in a frame about the group from another entry host.
 func (a *Arbiter) Receive(now time.Time, from string, frame *wire.Frame) effect.Effect {
+	if a.owned == nil && isForOwner(frame) {
+		a.keepEarly(now, from, frame)
+		return effect.Effect{}
+	}
 	switch body := frame.GetBody().(type) {
 	case *wire.Frame_Credit:
 		return a.receiveCredit(now, from, body.Credit)
@@ -33,6 +37,16 @@
 	}
 }
 
+// isForOwner reports whether only the owner of a group takes such a frame in.
+func isForOwner(frame *wire.Frame) bool {
+	switch frame.GetBody().(type) {
+	case *wire.Frame_Demand, *wire.Frame_Release, *wire.Frame_Holding:
+		return true
+	default:
+		return false
+	}
+}
+
 // receiveCredit takes a credit of the owner; one of an earlier owner is ignored, since the new one does not know of it.
 func (a *Arbiter) receiveCredit(now time.Time, from string, c *wire.Credit) effect.Effect {
 	if from != a.owner || a.owned != nil {
@@ -71,9 +85,6 @@
 }
 
 func (a *Arbiter) receiveDemand(now time.Time, from string, d *wire.Demand) effect.Effect {
-	if a.owned == nil {
-		return effect.Effect{}
-	}
 	wait := time.Duration(min(d.GetWaitMs(), maxWaitMS)) * time.Millisecond
 	asked := demand.Demand{
 		Borrower: from,
@@ -103,9 +114,6 @@
 }
 
 func (a *Arbiter) receiveRelease(now time.Time, from string, r *wire.Release) effect.Effect {
-	if a.owned == nil {
-		return effect.Effect{}
-	}
 	endpoint := a.idOf(r.GetEndpoint())
 	a.owned.completed(now, endpoint, int(r.GetCompleted()))
 	e := a.deliver(now, a.owned.lender.Release(now, from, endpoint, int(r.GetCount())))
@@ -115,9 +123,6 @@
 
 // receiveHolding takes in what a borrower has in flight, as it tells a new owner.
 func (a *Arbiter) receiveHolding(now time.Time, from string, h *wire.Holding) effect.Effect {
-	if a.owned == nil {
-		return effect.Effect{}
-	}
 	var e effect.Effect
 	if h.GetFirst() {
 		a.dropUnsent(from)
