Revert "Let a full region's own work go before what spills into it"

Cause: with spilled work at the lowest urgency, the queue of the other region looked open to it and never was: under overload each refused request first waited a quarter of its deadline, then behind all own work. Conclusion: refusals must be early; spilling only where the other region has room is still to be built.

--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -25,8 +25,7 @@
 
 // Bind waits for an endpoint of the preferred group, and of the next ones when it has none in time.
 //
-// A request that one group refused comes after the own work of the next. The error is a refusal of a request that
-// was not run.
+// Its error is a refusal of a request that was not run.
 func (c *Coordinator) Bind(ctx context.Context, w wish.Wish) (binding.Binding, error) {
 	var refused error
 	for i, g := range w.Groups {
@@ -40,10 +39,7 @@
 		}
 		r := &request{coordinator: c, group: g, cell: in, wish: w, askedAt: now}
 		if i < len(w.Groups)-1 {
-			r.wish = r.wish.WithUntil(patience(now, w.Until))
-		}
-		if refused != nil {
-			r.wish = r.wish.WithUrgency(wish.Low)
+			r.wish = w.WithUntil(patience(now, w.Until))
 		}
 		if endpoint, ok := r.preferAlone(now); ok {
 			in.mu.Unlock()
