Forget arrivals of rights that wait no longer

Cause: the owner notes when each right began to wait, and dropped the notes only while it looked for an endpoint. While its budget is short it grants to its own requests only and does not look, so the notes of others' rights piled up. Found by reading. Change: they are dropped whenever rights expire, which is at each demand and tick.

--- a/lib/lender/lender.go
+++ b/lib/lender/lender.go
@@ -253,16 +253,24 @@
 	return l.waiting.Len() > a.waiting
 }
 
-// hasImpatient reports whether some right has waited for longer than the patience.
+// hasImpatient reports whether some right has waited for the patience or longer.
 func (l *Lender) hasImpatient(now time.Time) bool {
-	for len(l.arrivals) > 0 {
-		first := l.arrivals[0]
-		if asked, ok := l.waiting.Get(first.key); ok && asked.since.Equal(first.since) {
-			return l.isImpatient(now, asked)
+	l.forgetArrivals()
+	return len(l.arrivals) > 0 && now.Sub(l.arrivals[0].since) >= l.patience
+}
+
+// forgetArrivals drops the earliest rights that wait no longer, so that the first one left waits.
+func (l *Lender) forgetArrivals() {
+	l.arrivals = l.arrivals[l.passedArrivals():]
+}
+
+func (l *Lender) passedArrivals() int {
+	for i, a := range l.arrivals {
+		if asked, waits := l.waiting.Get(a.key); waits && asked.since.Equal(a.since) {
+			return i
 		}
-		l.arrivals = l.arrivals[1:]
 	}
-	return false
+	return len(l.arrivals)
 }
 
 func (l *Lender) isImpatient(now time.Time, asked wanted) bool {
@@ -306,4 +314,5 @@
 
 func (l *Lender) expire(now time.Time) {
 	l.waiting.Expire(now, func(key right, _ wanted) { l.account(key.borrower).waiting-- })
+	l.forgetArrivals()
 }
