Blame operators only for zones that they have taken out

Cause: a request whose service has no endpoint listed at all was told that operators had taken out every availability zone. Found by reading. Change: that reason is given only where endpoints are listed, all in zones that are out; else no endpoint is open. Seen failing first: the row "none listed" of TestReasonWhenNoEndpointIsOpen. After: green.

--- a/poplarhook/services/coordinator/bind.go
+++ b/poplarhook/services/coordinator/bind.go
@@ -68,12 +68,13 @@
 
 // whyClosed tells why no endpoint of the groups is open.
 func (c *Coordinator) whyClosed(groups []group.Group) string {
+	var endpoints []host.Host
 	for _, g := range groups {
-		for _, endpoint := range c.places.Endpoints(g) {
-			if !c.places.IsZoneOut(endpoint.AvailabilityZone) {
-				return "no endpoint is open"
-			}
-		}
+		endpoints = append(endpoints, c.places.Endpoints(g)...)
+	}
+	isInZone := func(endpoint host.Host) bool { return !c.places.IsZoneOut(endpoint.AvailabilityZone) }
+	if len(endpoints) == 0 || slices.ContainsFunc(endpoints, isInZone) {
+		return "no endpoint is open"
 	}
 	return "operators have taken out every availability zone that may serve the request"
 }
--- a/poplarhook/services/coordinator/coordinator_test.go
+++ b/poplarhook/services/coordinator/coordinator_test.go
@@ -117,13 +117,17 @@
 
 func (places) Groups() []group.Group { return []group.Group{home, away} }
 
-// closedPlaces lists two leaving endpoints in two availability zones, some of which are out.
+// closedPlaces lists two leaving endpoints in two availability zones, some of which are out, or none.
 type closedPlaces struct {
 	places
-	out []string
+	out  []string
+	none bool
 }
 
-func (closedPlaces) Endpoints(g group.Group) []host.Host {
+func (p closedPlaces) Endpoints(g group.Group) []host.Host {
+	if p.none {
+		return nil
+	}
 	return []host.Host{
 		{ID: "1", Service: g.Service, Region: g.Region, AvailabilityZone: "zone-1", Slots: 2, State: host.StateLeaving},
 		{ID: "2", Service: g.Service, Region: g.Region, AvailabilityZone: "zone-2", Slots: 2, State: host.StateLeaving},
@@ -257,17 +261,18 @@
 
 func TestReasonWhenNoEndpointIsOpen(t *testing.T) {
 	for _, row := range []struct {
-		name string
-		out  []string
-		want string
+		name   string
+		closed closedPlaces
+		want   string
 	}{
-		{"every zone out", []string{"zone-1", "zone-2"}, "operators have taken out every availability zone that may serve the request"},
-		{"one zone out, the other leaving", []string{"zone-1"}, "no endpoint is open"},
+		{"every zone out", closedPlaces{out: []string{"zone-1", "zone-2"}}, "operators have taken out every availability zone that may serve the request"},
+		{"one zone out, the other leaving", closedPlaces{out: []string{"zone-1"}}, "no endpoint is open"},
+		{"none listed", closedPlaces{none: true}, "no endpoint is open"},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			c := quicktest.New(t)
 			n := &network{owner: map[group.Group]string{home: "e0"}}
-			refusing := coordinator.New("e0", home.Region, linkOf{n, "e0"}, closedPlaces{out: row.out}, n, allProved{})
+			refusing := coordinator.New("e0", home.Region, linkOf{n, "e0"}, row.closed, n, allProved{})
 			_, err := bind(t, refusing, time.Second, home)
 			c.Assert(errors.Is(err, refusal.ErrNotRun), quicktest.IsTrue)
 			c.Assert(err, quicktest.ErrorMatches, "not_run: "+row.want)
