Forget early frames of borrowers once they are too old

Cause: what borrowers told a host that does not own the group stayed until it owned it, up to 512 frames for each group, though nothing older than a second is used. Change: each tick drops the borrowers whose first frame is too old; the dump shows early_frames. Taking them in at a change of owner needs no map any more. Seen failing first: TestEarlyFramesAreForgotten did not build, as nothing showed the frames; the forgetting itself was not seen failing. After: green, and the arbiter's properties.

--- a/poplarhook/services/arbiter/arbiter.go
+++ b/poplarhook/services/arbiter/arbiter.go
@@ -163,6 +163,7 @@
 	e.Add(a.act(now, a.borrower.Tick(now)))
 	e.Add(a.resend())
 	a.forgetDemands(now)
+	a.forgetEarly(now)
 	return e
 }
 
--- a/poplarhook/services/arbiter/early.go
+++ b/poplarhook/services/arbiter/early.go
@@ -40,17 +40,21 @@
 	a.early = slices.DeleteFunc(a.early, func(f earlyFrame) bool { return f.from == peer })
 }
 
-// receiveEarly takes in, as the owner, what came early; a borrower whose first frame is too old is left out whole.
+// forgetEarly drops what is too old, and with it all that its borrower told.
+func (a *Arbiter) forgetEarly(now time.Time) {
+	for len(a.early) > 0 && now.Sub(a.early[0].at) > earlyFor {
+		a.dropEarly(a.early[0].from)
+	}
+}
+
+// receiveEarly takes in, as the owner, what came early.
 func (a *Arbiter) receiveEarly(now time.Time) effect.Effect {
+	a.forgetEarly(now)
 	early := a.early
 	a.early = nil
-	old := make(map[string]bool)
 	var e effect.Effect
 	for _, f := range early {
-		old[f.from] = old[f.from] || now.Sub(f.at) > earlyFor
-		if !old[f.from] {
-			e.Add(a.Receive(now, f.from, f.frame))
-		}
+		e.Add(a.Receive(now, f.from, f.frame))
 	}
 	return e
 }
--- a/poplarhook/services/arbiter/early_test.go
+++ b/poplarhook/services/arbiter/early_test.go
@@ -57,6 +57,19 @@
 	c.Assert(credits(next.SetOwner(at(600), "e2", proved)), quicktest.HasLen, 1)
 }
 
+// What came early is kept no longer than it is of use.
+func TestEarlyFramesAreForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	next, told := join(c)
+	for _, f := range told {
+		next.Receive(at(500), "e1", f.Frame)
+	}
+	next.Tick(at(1400))
+	c.Assert(next.State(at(1400)).Early, quicktest.Equals, len(told))
+	next.Tick(at(1600))
+	c.Assert(next.State(at(1600)).Early, quicktest.Equals, 0)
+}
+
 func TestNewOwnerLeavesOutWhatIsOldOrOfABrokenLink(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/poplarhook/services/arbiter/state.go
+++ b/poplarhook/services/arbiter/state.go
@@ -15,6 +15,7 @@
 	Idle       int               `json:"idle_credits"`
 	InFlight   []holding.Holding `json:"in_flight"`
 	Alone      int               `json:"alone_in_flight"`
+	Early      int               `json:"early_frames"`
 	Loans      []loan.Loan       `json:"loans,omitempty"`
 	Conditions []Condition       `json:"conditions,omitempty"`
 }
@@ -37,6 +38,7 @@
 		Waiting:  a.borrower.Waiting(),
 		Idle:     a.borrower.Idle(),
 		InFlight: a.borrower.InFlight(),
+		Early:    len(a.early),
 	}
 	for _, count := range a.alone {
 		s.Alone += count
