Wait for conditions in the tests of a host at rest and of a delayed link

Cause: both slept: one to let a host come to rest and to count its looks at the time, the other to pace what it sends. Change: the first waits for looks that lie apart as a host's at rest do, and requires more than a second for 31 of them in place of at most 30 in a second; the second is paced by a ticker. No bound changed. Seen failing: ticks of 20 and 28 ms at rest, and a ticker that stays slow when work comes.

--- a/poplarhook/services/coordinator/rest_test.go
+++ b/poplarhook/services/coordinator/rest_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,34 +12,77 @@
 	"poplarhook.example/poplarhook/services/coordinator"
 )
 
+const (
+	// maxLooks is how often a host at rest looks at the time in a second, at most.
+	maxLooks = 30
+	// restGap is longer than the time between two looks of a host with work.
+	restGap   = 25 * time.Millisecond
+	lookLimit = 10 * time.Second
+)
+
+// looks tells of each look at the time.
+type looks chan time.Time
+
+func (l looks) clock() time.Time {
+	now := time.Now()
+	select {
+	case l <- now:
+	default:
+	}
+	return now
+}
+
+// next returns the time of the next look.
+func (l looks) next(c *quicktest.C) time.Time {
+	select {
+	case at := <-l:
+		return at
+	case <-time.After(lookLimit):
+		c.Fatalf("no look at the time within %s", lookLimit)
+		return time.Time{}
+	}
+}
+
+// awaitRest waits until two looks lie as far apart as those of a host at rest, and returns the latter.
+func (l looks) awaitRest(c *quicktest.C) time.Time {
+	first := l.next(c)
+	for last := first; last.Sub(first) < lookLimit; {
+		at := l.next(c)
+		if at.Sub(last) > restGap {
+			return at
+		}
+		last = at
+	}
+	c.Fatalf("no rest within %s", lookLimit)
+	return time.Time{}
+}
+
 // TestHostAtRestTicksSeldom counts how often a host without work looks at the time, and that work has it look often again.
 func TestHostAtRestTicksSeldom(t *testing.T) {
-	qt := quicktest.New(t)
-	var looks atomic.Int64
-	clock := func() time.Time {
-		looks.Add(1)
-		return time.Now()
-	}
+	c := quicktest.New(t)
+	seen := make(looks, 4096)
 	n := &network{owner: map[group.Group]string{home: "other"}}
-	c := coordinator.New("a", home.Region, linkOf{n, "a"}, places{}, n, allProved{},
-		coordinator.WithClock(clock), coordinator.WithOwnerTimeout(time.Hour))
+	resting := coordinator.New("a", home.Region, linkOf{n, "a"}, places{}, n, allProved{},
+		coordinator.WithClock(seen.clock), coordinator.WithOwnerTimeout(time.Hour))
 	ctx, cancel := context.WithCancel(context.Background())
-	done := c.Run(ctx)
-	time.Sleep(50 * time.Millisecond)
-	before := looks.Load()
-	time.Sleep(time.Second)
-	qt.Check(looks.Load()-before <= 30, quicktest.IsTrue, quicktest.Commentf("%d looks in a second at rest", looks.Load()-before))
+	done := resting.Run(ctx)
+	before := seen.awaitRest(c)
+	for range maxLooks {
+		seen.next(c)
+	}
+	took := seen.next(c).Sub(before)
+	c.Check(took > time.Second, quicktest.IsTrue, quicktest.Commentf("%d looks in %s at rest", maxLooks+1, took))
 
 	// Requests that no owner answers are refused at the deadline and not only at the next tick of a host at rest.
 	soonest := time.Hour
 	for range 5 {
-		time.Sleep(60 * time.Millisecond)
+		seen.awaitRest(c)
 		deadline := time.Now().Add(8 * time.Millisecond)
-		_, err := c.Bind(context.Background(), wish.Wish{Groups: []group.Group{home}, Until: deadline})
-		qt.Check(err, quicktest.IsNotNil)
+		_, err := resting.Bind(context.Background(), wish.Wish{Groups: []group.Group{home}, Until: deadline})
+		c.Check(err, quicktest.IsNotNil)
 		soonest = min(soonest, time.Since(deadline))
 	}
-	qt.Check(soonest < 25*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("refused %s after the deadline at best", soonest))
+	c.Check(soonest < 25*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("refused %s after the deadline at best", soonest))
 	cancel()
-	qt.Assert(<-done, quicktest.IsNil)
+	c.Assert(<-done, quicktest.IsNil)
 }
--- a/standin/forwarder/forwarder_test.go
+++ b/standin/forwarder/forwarder_test.go
@@ -108,11 +108,13 @@
 	_, err := receive(conn, 4, longWait)
 	c.Assert(err, qt.IsNil)
 	sent := make(chan time.Time, chunks)
+	pace := time.NewTicker(500 * time.Microsecond)
+	defer pace.Stop()
 	go func() {
 		for i := range chunks {
+			<-pace.C
 			sent <- time.Now()
 			_, _ = fmt.Fprintf(conn, "%04d", i)
-			time.Sleep(500 * time.Microsecond)
 		}
 	}()
 	for i := range chunks {
