--- a/lib/class/class.go
+++ b/lib/class/class.go
@@ -31,6 +31,23 @@
 	HomeRegions     []string `json:"home_regions,omitempty" yaml:"home_regions,omitempty"`
 	Spill           string   `json:"spill" yaml:"spill"`
 	Urgency         string   `json:"urgency" yaml:"urgency"`
+	// MaxSends is the most endpoints that one request may be sent to, zero for the dispatcher's own limit.
+	MaxSends int `json:"max_sends,omitempty" yaml:"-"`
+	// Parts are the services that share the requests of the class, empty when Service takes them all.
+	Parts []Part `json:"parts,omitempty" yaml:"-"`
+}
+
+// Part is one service's share of a class, in proportion to the weights of the others.
+type Part struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// WithService returns a copy whose requests go to the one service.
+func (c Class) WithService(service string) Class {
+	c.Service = service
+	c.Parts = nil
+	return c
 }
 
 // IsOnceOnly reports whether a request of the class may run at most once.
--- a/lib/classifier/classifier.go
+++ b/lib/classifier/classifier.go
@@ -13,7 +13,10 @@
 // ErrNoClass is returned for a request that no class matches.
 var ErrNoClass = errors.New("no class matches the request")
 
-const anyHost = ""
+const (
+	anyHost   = ""
+	anyMethod = ""
+)
 
 // match is what a class claims.
 type match struct {
@@ -50,8 +53,12 @@
 	if len(hosts) == 0 {
 		hosts = []string{anyHost}
 	}
+	methods := t.class.Methods
+	if len(methods) == 0 {
+		methods = []string{anyMethod}
+	}
 	for _, host := range hosts {
-		for _, method := range t.class.Methods {
+		for _, method := range methods {
 			c.targets[match{host: host, method: method, prefix: t.class.PathPrefix}] = t
 		}
 	}
@@ -77,12 +84,18 @@
 	return found.class, found.team, nil
 }
 
+// longest looks the prefixes of the path up, from the longest on.
+//
+// A prefix that ends with a slash matches what lies below it, and not the
+// segment itself.
 func (c *Classifier) longest(method, host, path string) (target, bool) {
-	for prefix := c.start(path); ; prefix = parent(prefix) {
-		if found, ok := c.targets[match{host: host, method: method, prefix: prefix}]; ok {
-			return found, true
+	for prefix, below := c.start(path), ""; ; prefix, below = parent(prefix), "/" {
+		if below != "" && prefix != "/" {
+			if found, ok := c.at(method, host, prefix+below); ok {
+				return found, true
+			}
 		}
-		if found, ok := c.targets[match{host: anyHost, method: method, prefix: prefix}]; ok {
+		if found, ok := c.at(method, host, prefix); ok {
 			return found, true
 		}
 		if prefix == "/" {
@@ -91,18 +104,28 @@
 	}
 }
 
+// at returns what claims exactly the prefix; a class that names the host or the method goes first.
+func (c *Classifier) at(method, host, prefix string) (target, bool) {
+	for _, h := range [...]string{host, anyHost} {
+		for _, m := range [...]string{method, anyMethod} {
+			if found, ok := c.targets[match{host: h, method: m, prefix: prefix}]; ok {
+				return found, true
+			}
+		}
+	}
+	return target{}, false
+}
+
 // start returns the longest prefix of the path that any class could have.
 func (c *Classifier) start(path string) string {
 	if len(path) <= c.maxPrefix {
-		if len(path) > 1 {
-			path = strings.TrimSuffix(path, "/")
-		}
 		return path
 	}
 	cut := strings.LastIndexByte(path[:c.maxPrefix+1], '/')
-	return path[:max(cut, 1)]
+	return path[:cut+1]
 }
 
+// parent returns the prefix without its last segment or its last slash.
 func parent(prefix string) string {
 	return prefix[:max(strings.LastIndexByte(prefix, '/'), 1)]
 }
--- /dev/null
+++ b/lib/deployment/deployment.go
@@ -0,0 +1,170 @@
+package deployment
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid says that a setting has a value that is not allowed.
+var ErrInvalid = errors.New("invalid setting")
+
+// Deployment is where one entry host stands and what it must keep to.
+type Deployment struct {
+	HostID           string `json:"host_id"`
+	Region           string `json:"region"`
+	AvailabilityZone string `json:"availability_zone"`
+	// Regions names the region of each availability zone.
+	Regions      map[string]string `json:"regions"`
+	Address      string            `json:"address"`
+	Listen       string            `json:"listen"`
+	ReadyListen  string            `json:"ready_listen"`
+	PeerPorts    []int             `json:"peer_ports"`
+	StoreAddress string            `json:"store_address"`
+	MemoryMB     int               `json:"memory_mb"`
+	Bounds       Bounds            `json:"bounds"`
+}
+
+// Bounds are the figures that the deployment promises to its users.
+type Bounds struct {
+	// ConfigurationMS is the time within which a configuration is in force, in milliseconds.
+	ConfigurationMS int64 `json:"configuration_ms"`
+	// LeavingMS is the time after which a leaving endpoint gets no request, in milliseconds.
+	LeavingMS int64 `json:"leaving_ms"`
+	// ZoneOutMS is the time after which a zone taken out gets no request, in milliseconds.
+	ZoneOutMS int64 `json:"zone_out_ms"`
+	// StopS is the time between the signal to stop and the kill, in seconds.
+	StopS float64 `json:"stop_s"`
+	// RetryShare and RetrySlack bound the repeated requests for a service in each RetryWindowS, over all hosts.
+	RetryShare   float64 `json:"retry_share"`
+	RetrySlack   float64 `json:"retry_slack"`
+	RetryWindowS float64 `json:"retry_window_s"`
+	// ColdFactor and ColdSlack bound the requests of a cold endpoint in a second: declared rate times factor plus slack.
+	ColdFactor float64 `json:"cold_factor"`
+	ColdSlack  float64 `json:"cold_slack"`
+	// ProbesPerSecond bounds the health checks of one endpoint over all hosts.
+	ProbesPerSecond float64 `json:"probes_per_second"`
+}
+
+// Read returns the settings in the file; its error names the field, the value and what is allowed.
+func Read(path string) (Deployment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Deployment{}, errors.Wrapf(ErrInvalid, "settings file: %v", err)
+	}
+	return Parse(text)
+}
+
+// Parse returns the settings in the text; fields that it does not know are left out.
+func Parse(text []byte) (Deployment, error) {
+	var d Deployment
+	err := json.Unmarshal(text, &d)
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return Deployment{}, invalid(kind.Field, kind.Value, "a value of type "+kind.Type.String())
+	}
+	if err != nil {
+		return Deployment{}, errors.Wrapf(ErrInvalid, "settings file is no JSON: %v", err)
+	}
+	return d, d.check()
+}
+
+func invalid(field string, value any, allowed string) error {
+	return errors.Wrapf(ErrInvalid, "%s is %q: allowed is %s", field, fmt.Sprint(value), allowed)
+}
+
+func (d Deployment) check() error {
+	for _, check := range []func() error{d.checkNames, d.checkAddresses, d.checkPorts, d.checkBounds} {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d Deployment) checkNames() error {
+	names := []struct{ field, value string }{
+		{"host_id", d.HostID},
+		{"region", d.Region},
+		{"availability_zone", d.AvailabilityZone},
+		{"address", d.Address},
+	}
+	for _, n := range names {
+		if n.value == "" {
+			return invalid(n.field, n.value, "a text that is not empty")
+		}
+	}
+	return nil
+}
+
+func (d Deployment) checkAddresses() error {
+	addresses := []struct{ field, value string }{
+		{"listen", d.Listen},
+		{"ready_listen", d.ReadyListen},
+		{"store_address", d.StoreAddress},
+	}
+	for _, a := range addresses {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return invalid(a.field, a.value, "host:port")
+		}
+	}
+	return nil
+}
+
+const maxPort = 65535
+
+func (d Deployment) checkPorts() error {
+	if len(d.PeerPorts) != 2 || d.PeerPorts[0] < 1 || d.PeerPorts[1] <= d.PeerPorts[0] || d.PeerPorts[1] > maxPort {
+		return invalid("peer_ports", d.PeerPorts, "two ports from 1 to 65535, the second above the first")
+	}
+	return nil
+}
+
+func (d Deployment) checkBounds() error {
+	bounds := []struct {
+		field string
+		value float64
+	}{
+		{"bounds.configuration_ms", float64(d.Bounds.ConfigurationMS)},
+		{"bounds.leaving_ms", float64(d.Bounds.LeavingMS)},
+		{"bounds.zone_out_ms", float64(d.Bounds.ZoneOutMS)},
+		{"bounds.stop_s", d.Bounds.StopS},
+		{"bounds.retry_window_s", d.Bounds.RetryWindowS},
+	}
+	for _, b := range bounds {
+		if b.value <= 0 {
+			return invalid(b.field, b.value, "a number above zero")
+		}
+	}
+	return nil
+}
+
+// PeerAddress is where the host answers other entry hosts.
+func (d Deployment) PeerAddress() string {
+	return net.JoinHostPort(d.Address, fmt.Sprint(d.PeerPorts[0]))
+}
+
+// AdminAddress is where the host answers operators.
+func (d Deployment) AdminAddress() string {
+	return net.JoinHostPort(d.Address, fmt.Sprint(d.PeerPorts[0]+1))
+}
+
+// RegionOf returns the region of the availability zone and whether it is known.
+func (d Deployment) RegionOf(zone string) (string, bool) {
+	region, known := d.Regions[zone]
+	return region, known
+}
+
+// Stop returns the time that a planned stop may take.
+func (b Bounds) Stop() time.Duration {
+	return time.Duration(b.StopS * float64(time.Second))
+}
+
+// RetryWindow returns the time over which repeated requests are counted.
+func (b Bounds) RetryWindow() time.Duration {
+	return time.Duration(b.RetryWindowS * float64(time.Second))
+}
--- a/lib/host/host.go
+++ b/lib/host/host.go
@@ -1,5 +1,7 @@
 package host
 
+import "time"
+
 // Roles and states of a host in the platform's list.
 const (
 	RoleEntry    = "entry"
@@ -23,6 +25,12 @@
 	Connections      int    `json:"connections,omitempty"`
 	Incarnation      string `json:"incarnation,omitempty"`
 	State            string `json:"state"`
+	// HealthPath is where the endpoint answers health checks, empty for the default.
+	HealthPath string `json:"health_path,omitempty"`
+	// ColdUntil is when the endpoint stops being cold, zero when the platform does not say.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
+	// ColdPerSecond is how many requests a second the endpoint bears while it is cold, zero when not declared.
+	ColdPerSecond float64 `json:"cold_per_second,omitempty"`
 }
 
 // IsLeaving reports whether the platform lists the host as leaving.
--- /dev/null
+++ b/lib/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit holds the bounds on what callers may send.
+package limit
--- /dev/null
+++ b/lib/service/doc.go
@@ -0,0 +1,2 @@
+// Package service holds what operators declare of one service.
+package service
--- a/lib/snapshot/snapshot.go
+++ b/lib/snapshot/snapshot.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"poplarhook.example/lib/document"
+	"poplarhook.example/lib/limit"
+	"poplarhook.example/lib/service"
 )
 
 // Snapshot is the whole accepted configuration at one revision.
@@ -12,6 +14,18 @@
 	ChangeID  string              `json:"change_id"`
 	Documents []document.Document `json:"documents"`
 	ZonesOut  []string            `json:"zones_out"`
+	// Services and Limit are set where the platform declares them.
+	Services []service.Service `json:"services,omitempty"`
+	Limit    limit.Limit       `json:"limit,omitzero"`
+}
+
+// Service returns what is declared of the service and whether it is declared.
+func (s Snapshot) Service(name string) (service.Service, bool) {
+	i := slices.IndexFunc(s.Services, func(one service.Service) bool { return one.Name == name })
+	if i < 0 {
+		return service.Service{}, false
+	}
+	return s.Services[i], true
 }
 
 // IsZoneOut reports whether operators have taken the availability zone out.
--- a/poplarhook/cmd/root.go
+++ b/poplarhook/cmd/root.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	commands := []subcommand{serve, newSettings(out), newVersion(out)}
+	commands := []subcommand{serve, newGateway(out), newSettings(out), newVersion(out)}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.parsed, 1)
 	}
--- a/poplarhook/models/binding/binding.go
+++ b/poplarhook/models/binding/binding.go
@@ -19,6 +19,12 @@
 	Alone bool
 	// Free says that the request may also go out on a fresh connection though it was bound alone.
 	Free bool
+	// Class is the name of the request's class.
+	Class string
+	// Slowness is how long work took at the endpoint when it was chosen, 1 as usual and zero when not known.
+	Slowness float64
+	// Idle says that a slot was free when the endpoint was chosen.
+	Idle bool
 }
 
 // ValidAt reports whether the request may still be sent.
--- /dev/null
+++ b/poplarhook/models/divider/doc.go
@@ -0,0 +1,2 @@
+// Package divider shares the requests of a class among services by weight.
+package divider
--- a/poplarhook/models/report/report.go
+++ b/poplarhook/models/report/report.go
@@ -34,6 +34,18 @@
 	Leaving     bool
 	InFlight    int
 	Slots       int
+	// Waiting is how many requests wait for a slot.
+	Waiting int
+	// Slowness is how long work takes at this moment, 1 as usual and zero when not reported.
+	Slowness float64
+	// ColdFor is how much longer the endpoint is cold, zero when not reported.
+	ColdFor time.Duration
+	// Refused says that the endpoint promised that it did not run the request.
+	Refused bool
+	// Misdirected says that another endpoint answered at the address.
+	Misdirected bool
+	// Foreign says that the answer belongs to another request.
+	Foreign bool
 }
 
 type orca struct {
--- /dev/null
+++ b/poplarhook/models/reputation/doc.go
@@ -0,0 +1,2 @@
+// Package reputation remembers how often endpoints failed lately.
+package reputation
--- a/poplarhook/models/wish/wish.go
+++ b/poplarhook/models/wish/wish.go
@@ -22,6 +22,12 @@
 	OnceOnly bool
 	// Excluded is the id of an endpoint that must not be bound, empty for none.
 	Excluded string
+	// Target is when the answer should be with the caller, zero for no target.
+	Target time.Time
+	// Class is the name of the request's class.
+	Class string
+	// Request is the request's id, for the log.
+	Request string
 }
 
 // WithExcluded returns a copy that must not be bound to the endpoint.
--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -43,6 +43,8 @@
 	maxIdle     int
 	maxOpen     int
 	lost        func(address string)
+	// unframed says that an answer may end with its connection.
+	unframed bool
 
 	mu     sync.Mutex
 	idle   []*link
@@ -73,6 +75,16 @@
 	return func(e *Exchanger) { e.lost = lost }
 }
 
+// WithDialTimeout bounds the time that a new connection may take.
+func WithDialTimeout(d time.Duration) Option {
+	return func(e *Exchanger) { e.dialTimeout = d }
+}
+
+// WithUnframed takes an answer without a declared length as whole when its connection ends without a reset.
+func WithUnframed() Option {
+	return func(e *Exchanger) { e.unframed = true }
+}
+
 // Counts holds what an Exchanger has done since its start.
 type Counts struct {
 	Dialed   uint64 `json:"dialed"`
@@ -134,12 +146,12 @@
 		e.discard(l)
 		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", e.address, err)
 	}
-	if isUnframed(response) {
+	if !e.unframed && isUnframed(response) {
 		stop()
 		e.discard(l)
 		return nil, errors.Wrapf(ErrBroken, "answer of %s has no declared end", e.address)
 	}
-	response.Body = &body{exchanger: e, link: l, stop: stop, source: response.Body, keep: !response.Close}
+	response.Body = &body{exchanger: e, link: l, stop: stop, source: response.Body, keep: !response.Close && !isUnframed(response)}
 	return response, nil
 }
 
--- a/poplarhook/modules/settings/settings.go
+++ b/poplarhook/modules/settings/settings.go
@@ -64,6 +64,9 @@
 // Prefix is the start of the name of every environment variable of the entry process.
 const Prefix = "POPLARHOOK_"
 
+// FileVariable names the settings file of a host whose platform gives endpoints and configuration.
+const FileVariable = Prefix + "SETTINGS"
+
 // FromEnvironment returns the defaults overlaid with what the environment sets.
 //
 // A variable that starts with the prefix and names no setting is refused.
@@ -84,7 +87,7 @@
 }
 
 func checkVariables(environment []string) error {
-	known := make(map[string]bool)
+	known := map[string]bool{FileVariable: true}
 	for _, setting := range List() {
 		known[setting.Variable] = true
 	}
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"poplarhook.example/lib/class"
 	"poplarhook.example/poplarhook/models/answer"
@@ -44,6 +45,32 @@
 	// isAmbiguous says that the request's length was declared in two ways.
 	isAmbiguous func(ctx context.Context) bool
 	counter     func(outcome, class string, took time.Duration)
+	dialect     dialect
+	divider     func(c class.Class) class.Class
+	logger      *zap.Logger
+}
+
+// dialect reads and writes the headers by which callers name requests and deadlines.
+type dialect interface {
+	RequestID(header http.Header) string
+	Deadline(header http.Header) (time.Duration, bool)
+	Mark(header http.Header, id string)
+	RetryAfter(wait time.Duration) string
+}
+
+// WithDialect sets the callers' headers, for callers that do not use the product's own.
+func WithDialect(d dialect) Option {
+	return func(c *Caller) { c.dialect = d }
+}
+
+// WithDivider sets how a request of a class that several services share gets its one service.
+func WithDivider(divide func(c class.Class) class.Class) Option {
+	return func(c *Caller) { c.divider = divide }
+}
+
+// WithLogger sets where the ends of requests are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(c *Caller) { c.logger = logger }
 }
 
 // Option changes how a Caller is built.
@@ -87,6 +114,9 @@
 		maxBody:    defaultMaxBody,
 		places:     make(chan struct{}, defaultMaxRequests),
 		counter:    func(string, string, time.Duration) {},
+		dialect:    ownDialect{},
+		divider:    func(c class.Class) class.Class { return c },
+		logger:     zap.NewNop(),
 
 		isAmbiguous: func(context.Context) bool { return false },
 	}
@@ -118,6 +148,10 @@
 		return
 	}
 	a, err := c.dispatcher.Dispatch(r.Context(), j)
+	if r.Context().Err() != nil {
+		c.logger.Info("request given up by its caller", zap.String("request", j.ID), zap.String("class", j.Class.Name),
+			zap.Duration("took", c.clock().Sub(arrived)))
+	}
 	if err != nil {
 		c.refuse(w, j, err)
 		return
@@ -128,7 +162,7 @@
 
 // read returns the classified request with its whole body.
 func (c *Caller) read(w http.ResponseWriter, r *http.Request, arrived time.Time) (job.Job, error) {
-	j := job.Job{ID: r.Header.Get(HeaderRequestID), Arrived: arrived}
+	j := job.Job{ID: c.dialect.RequestID(r.Header), Arrived: arrived}
 	if c.isAmbiguous(r.Context()) {
 		// Whoever sends on this connection may read its requests otherwise than this host.
 		w.Header().Set("Connection", "close")
@@ -148,14 +182,14 @@
 	if err != nil {
 		return j, refusal.NotRun(http.StatusNotFound, err.Error())
 	}
-	j.Class, j.Team = found, team
+	j.Class, j.Team = c.divider(found), team
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.maxBody))
 	if err != nil {
 		return j, bodyRefusal(err)
 	}
 	j.Method, j.URL, j.Host, j.Header, j.Body = r.Method, r.URL, r.Host, r.Header, body
 	j.Until = arrived.Add(found.Deadline())
-	if own, given := deadlineOf(r.Header.Get(HeaderTimeout)); given && own < found.Deadline() {
+	if own, given := c.dialect.Deadline(r.Header); given && own < found.Deadline() {
 		j.Until = arrived.Add(own)
 	}
 	return j, nil
--- a/poplarhook/routers/caller/write.go
+++ b/poplarhook/routers/caller/write.go
@@ -7,7 +7,8 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"time"
+
+	"go.uber.org/zap"
 
 	"poplarhook.example/poplarhook/models/answer"
 	"poplarhook.example/poplarhook/models/job"
@@ -30,7 +31,11 @@
 	if !errors.As(err, &r) {
 		r = refusal.Unknown(err.Error())
 	}
-	c.counter(r.Outcome, j.Class.Name, c.clock().Sub(j.Arrived))
+	took := c.clock().Sub(j.Arrived)
+	c.counter(r.Outcome, j.Class.Name, took)
+	c.logger.Warn("request refused", zap.String("request", j.ID), zap.String("class", j.Class.Name), zap.String("service", j.Class.Service),
+		zap.Int("status", r.Status), zap.String("outcome", r.Outcome), zap.String("reason", r.Reason), zap.Duration("took", took),
+		zap.Duration("left", j.Until.Sub(j.Arrived)-took), zap.Duration("retry_after", r.RetryAfter))
 	body, err := json.Marshal(problem{
 		Type:      "about:blank",
 		Title:     http.StatusText(r.Status),
@@ -43,9 +48,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	if r.RetryAfter > 0 {
-		seconds := (r.RetryAfter + time.Second - 1) / time.Second
-		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		w.Header().Set("Retry-After", c.dialect.RetryAfter(r.RetryAfter))
 	}
+	c.dialect.Mark(w.Header(), j.ID)
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.Status)
@@ -63,7 +68,7 @@
 			header[name] = values
 		}
 	}
-	header.Set(HeaderRequestID, j.ID)
+	c.dialect.Mark(header, j.ID)
 	if a.Length >= 0 && bodyAllowed(a.Status) {
 		header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
@@ -71,7 +76,10 @@
 	if r.Method != http.MethodHead {
 		c.writeBody(w, j, a)
 	}
-	c.counter("served", j.Class.Name, c.clock().Sub(j.Arrived))
+	took := c.clock().Sub(j.Arrived)
+	c.counter("served", j.Class.Name, took)
+	c.logger.Info("request answered", zap.String("request", j.ID), zap.String("class", j.Class.Name),
+		zap.Int("status", a.Status), zap.Int("sends", a.Attempts), zap.Duration("took", took), zap.Duration("target", j.Class.LatencyTarget()))
 }
 
 func (c *Caller) writeBody(w http.ResponseWriter, j job.Job, a *answer.Answer) {
--- a/poplarhook/services/allowance/allowance.go
+++ b/poplarhook/services/allowance/allowance.go
@@ -7,27 +7,42 @@
 	"poplarhook.example/lib/budgeter"
 )
 
-// Allowance is a budget of second tries, safe for concurrent use.
+// Allowance is a budget of repeats for each service, safe for concurrent use.
 type Allowance struct {
-	mu     sync.Mutex
-	budget *budgeter.Budgeter
+	options []budgeter.Option
+
+	mu      sync.Mutex
+	budgets map[string]*budgeter.Budgeter
+}
+
+// New returns an Allowance of a share of the recent requests for each service.
+func New(share float64, options ...budgeter.Option) *Allowance {
+	return &Allowance{
+		options: append([]budgeter.Option{budgeter.WithShare(share)}, options...),
+		budgets: make(map[string]*budgeter.Budgeter),
+	}
 }
 
-// New returns an Allowance of a share of recent requests.
-func New(share float64) *Allowance {
-	return &Allowance{budget: budgeter.New(budgeter.WithShare(share))}
+// of returns the budget of a service; the lock is held.
+func (a *Allowance) of(service string) *budgeter.Budgeter {
+	b, known := a.budgets[service]
+	if !known {
+		b = budgeter.New(a.options...)
+		a.budgets[service] = b
+	}
+	return b
 }
 
-// Record counts a request.
-func (a *Allowance) Record(now time.Time) {
+// Record counts a request for the service.
+func (a *Allowance) Record(now time.Time, service string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.budget.Record(now)
+	a.of(service).Record(now)
 }
 
-// Spend takes one second try and reports whether there was one left.
-func (a *Allowance) Spend(now time.Time) bool {
+// Spend takes one repeat at the service and reports whether there was one left.
+func (a *Allowance) Spend(now time.Time, service string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.budget.Spend(now)
+	return a.of(service).Spend(now)
 }
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
-	"mime"
 	"net/http"
 	"time"
 
@@ -18,6 +16,9 @@
 	"poplarhook.example/poplarhook/modules/exchanger"
 )
 
+// errForeign says that the endpoint answered another request than the one it was asked.
+var errForeign = errors.New("answer belongs to another request")
+
 // attempt sends the job once under the binding and reads the start of the answer.
 //
 // The error Is refusal.ErrNotRun only if no byte left or the endpoint promised that it did not run the job.
@@ -46,14 +47,19 @@
 	if err != nil {
 		return nil, d.failed(ctx, b, report.Report{}, sentAt, err)
 	}
-	seen := report.FromHeader(response.StatusCode, response.Header)
+	seen := d.reader.Report(j, response)
 	seen.Closing = seen.Closing || response.Close
 	start, whole, err := readStart(response.Body)
+	if err == nil && seen.Foreign {
+		_ = response.Body.Close()
+		err = errForeign
+	}
 	if err != nil {
 		return nil, d.failed(ctx, b, seen, sentAt, err)
 	}
-	if whole && promisesNotRun(response, start) {
+	if whole && d.reader.Refuses(response, start) {
 		d.counter("endpoint_refused")
+		seen.Refused = true
 		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
 		return nil, errors.Wrapf(refusal.ErrNotRun, "endpoint %s refused", b.Endpoint.ID)
 	}
@@ -111,20 +117,3 @@
 	}
 	return start, false, nil
 }
-
-// promise is the part of problem details (RFC 9457) by which an endpoint says that it did not run a request.
-type promise struct {
-	Outcome string `json:"outcome"`
-}
-
-func promisesNotRun(response *http.Response, body []byte) bool {
-	if response.StatusCode != http.StatusServiceUnavailable {
-		return false
-	}
-	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	if err != nil || mediaType != "application/problem+json" {
-		return false
-	}
-	var p promise
-	return json.Unmarshal(body, &p) == nil && p.Outcome == refusal.OutcomeNotRun
-}
--- a/poplarhook/services/dispatcher/dispatcher.go
+++ b/poplarhook/services/dispatcher/dispatcher.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"poplarhook.example/lib/class"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarhook/models/answer"
@@ -41,10 +43,10 @@
 	Delay(now time.Time, class string, left time.Duration) time.Duration
 }
 
-// budget bounds second tries to a share of recent work.
+// budget bounds the repeats at a service to a share of its recent work.
 type budget interface {
-	Record(now time.Time)
-	Spend(now time.Time) bool
+	Record(now time.Time, service string)
+	Spend(now time.Time, service string) bool
 }
 
 const (
@@ -68,6 +70,33 @@
 	counter counter
 	// coldDeadline bounds the work of a cold endpoint for one request.
 	coldDeadline time.Duration
+	reader       reader
+	// onceRetries bounds the repeats of once-only requests that were not run, nil for maxSends alone.
+	onceRetries budget
+	logger      *zap.Logger
+}
+
+// reader reads what an answer says of the request and of its endpoint.
+type reader interface {
+	// Report reads the head of the answer to a job.
+	Report(j job.Job, response *http.Response) report.Report
+	// Refuses reports whether the endpoint promises that it did not run the request.
+	Refuses(response *http.Response, body []byte) bool
+}
+
+// WithReader sets how answers are read, for endpoints that do not speak the product's own headers.
+func WithReader(r reader) Option {
+	return func(d *Dispatcher) { d.reader = r }
+}
+
+// WithOnceRetries bounds how often once-only requests are sent anew after they were not run.
+func WithOnceRetries(b budget) Option {
+	return func(d *Dispatcher) { d.onceRetries = b }
+}
+
+// WithLogger sets where decisions on requests are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(d *Dispatcher) { d.logger = logger }
 }
 
 // Option changes how a Dispatcher is built.
@@ -111,6 +140,8 @@
 		counter: func(string) {},
 
 		coldDeadline: defaultColdDeadline,
+		reader:       orcaReader{},
+		logger:       zap.NewNop(),
 	}
 	for _, option := range options {
 		option(d)
@@ -118,6 +149,14 @@
 	return d
 }
 
+// sendsOf returns how many endpoints a request of the class may be sent to.
+func sendsOf(c class.Class) int {
+	if c.MaxSends > 0 {
+		return min(c.MaxSends, maxSends)
+	}
+	return maxSends
+}
+
 // Dispatch returns the endpoint's answer or a *refusal.Refusal. The caller closes the answer.
 func (d *Dispatcher) Dispatch(ctx context.Context, j job.Job) (*answer.Answer, error) {
 	w, err := d.wishFor(j)
@@ -141,6 +180,9 @@
 		Until:    j.Until,
 		Urgency:  urgencyOf(j.Class),
 		OnceOnly: j.Class.IsOnceOnly(),
+		Target:   j.Arrived.Add(j.Class.LatencyTarget()),
+		Class:    j.Class.Name,
+		Request:  j.ID,
 	}, nil
 }
 
--- a/poplarhook/services/dispatcher/dispatcher_test.go
+++ b/poplarhook/services/dispatcher/dispatcher_test.go
@@ -94,9 +94,9 @@
 
 type freeBudget struct{ allowed bool }
 
-func (freeBudget) Record(time.Time) {}
+func (freeBudget) Record(time.Time, string) {}
 
-func (f freeBudget) Spend(time.Time) bool { return f.allowed }
+func (f freeBudget) Spend(time.Time, string) bool { return f.allowed }
 
 func answers(status int, contentType, body string) func(context.Context) (*http.Response, error) {
 	return func(context.Context) (*http.Response, error) {
--- a/poplarhook/services/dispatcher/once.go
+++ b/poplarhook/services/dispatcher/once.go
@@ -19,6 +19,7 @@
 //
 // It tries anew only while every attempt so far is known not to have run.
 func (d *Dispatcher) dispatchOnce(ctx context.Context, cancel context.CancelFunc, j job.Job, w wish.Wish) (*answer.Answer, error) {
+	d.record(d.clock(), j.Class.Service)
 	for sends := 1; ; sends++ {
 		b, err := d.binder.Bind(ctx, w)
 		if err != nil {
@@ -35,7 +36,7 @@
 			cancel()
 			return nil, refused
 		}
-		if sends == maxSends {
+		if sends == sendsOf(j.Class) || !d.mayRepeat(j) {
 			cancel()
 			return nil, notRun(err)
 		}
@@ -43,6 +44,11 @@
 	}
 }
 
+// mayRepeat reports whether a once-only job that was not run may be sent anew.
+func (d *Dispatcher) mayRepeat(j job.Job) bool {
+	return d.onceRetries == nil || d.onceRetries.Spend(d.clock(), j.Class.Service)
+}
+
 // notRun returns the refusal of a job that no endpoint ran.
 func notRun(err error) error {
 	var r *refusal.Refusal
--- a/poplarhook/services/dispatcher/repeatable.go
+++ b/poplarhook/services/dispatcher/repeatable.go
@@ -53,7 +53,7 @@
 		d: d, job: j, wish: w,
 		results: make(chan result, maxSends),
 	}
-	d.record(d.clock())
+	d.record(d.clock(), j.Class.Service)
 	a, err := r.run(ctx)
 	if err != nil {
 		cancel()
@@ -67,12 +67,13 @@
 	}), nil
 }
 
-func (d *Dispatcher) record(now time.Time) {
+// record counts a first attempt in every budget, once in each.
+func (d *Dispatcher) record(now time.Time, service string) {
 	if d.hedges != nil {
-		d.hedges.Record(now)
+		d.hedges.Record(now, service)
 	}
-	if d.retries != nil {
-		d.retries.Record(now)
+	if d.retries != nil && d.retries != d.hedges {
+		d.retries.Record(now, service)
 	}
 }
 
@@ -180,7 +181,7 @@
 	if r.over {
 		return false
 	}
-	if r.sends >= maxSends || !b.Spend(r.d.clock()) {
+	if r.sends >= sendsOf(r.job.Class) || !b.Spend(r.d.clock(), r.job.Class.Service) {
 		r.d.counter(denied)
 		return false
 	}
@@ -241,7 +242,7 @@
 func (r *race) isSpent() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sends >= maxSends
+	return r.sends >= sendsOf(r.job.Class)
 }
 
 func (r *race) won(got result) {
--- /dev/null
+++ b/poplarhook/services/follower/doc.go
@@ -0,0 +1,2 @@
+// Package follower keeps the items of one kind as the platform's store has them.
+package follower
--- /dev/null
+++ b/poplarhook/services/follower/follower.go
@@ -0,0 +1,204 @@
+package follower
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/change"
+	"poplarhook.example/lib/pauser"
+)
+
+// ErrForgotten says that a source no longer knows the changes since a revision.
+var ErrForgotten = errors.New("changes are forgotten")
+
+// source lists and watches items; its error Is the one that WithForgotten names when the history is gone.
+type source[T any] interface {
+	List(ctx context.Context) (map[string]T, int64, error)
+	Watch(ctx context.Context, revision int64, wait time.Duration) ([]change.Change[T], int64, error)
+}
+
+// View is the items of one kind at one revision; it never changes.
+type View[T any] struct {
+	Items    map[string]T
+	Revision int64
+	// HeardAt is when the source last confirmed the view.
+	HeardAt time.Time
+	// Changed holds the names that differ from the view before, nil after a list.
+	Changed []change.Change[T]
+}
+
+// Follower follows one source.
+type Follower[T any] struct {
+	name      string
+	source    source[T]
+	apply     func(v View[T])
+	clock     func() time.Time
+	wait      time.Duration
+	pause     time.Duration
+	forgotten error
+	logger    *zap.Logger
+
+	view View[T]
+	lost bool
+}
+
+const (
+	// defaultWait is the longest that a watch may wait by the platform's page.
+	defaultWait = 25 * time.Second
+	// callSlack is how much longer than its wait a call may take, a slow store included.
+	callSlack = 3 * time.Second
+	// firstBackoff and lastBackoff bound the pause after a failed call; the last stays well under the time that
+	// hosts have to be up to date after an outage.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 800 * time.Millisecond
+)
+
+// Option changes how a Follower is built.
+type Option func(*options)
+
+type options struct {
+	clock     func() time.Time
+	wait      time.Duration
+	pause     time.Duration
+	forgotten error
+	logger    *zap.Logger
+}
+
+// WithPause lets changes gather for some time before they are read.
+func WithPause(pause time.Duration) Option {
+	return func(o *options) { o.pause = pause }
+}
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option {
+	return func(o *options) { o.clock = clock }
+}
+
+// WithForgotten names the source's error after which the items are listed anew.
+func WithForgotten(err error) Option {
+	return func(o *options) { o.forgotten = err }
+}
+
+// WithLogger sets where the loss of the source and its return are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(o *options) { o.logger = logger }
+}
+
+// New returns a Follower that hands each new view to apply.
+func New[T any](name string, s source[T], apply func(v View[T]), opts ...Option) *Follower[T] {
+	o := options{clock: time.Now, wait: defaultWait, forgotten: ErrForgotten, logger: zap.NewNop()}
+	for _, option := range opts {
+		option(&o)
+	}
+	return &Follower[T]{
+		name: name, source: s, apply: apply,
+		clock: o.clock, wait: o.wait, pause: o.pause, forgotten: o.forgotten, logger: o.logger,
+	}
+}
+
+// Run follows until the context ends; the channel gives the end.
+func (f *Follower[T]) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		f.run(ctx)
+		done <- nil
+	}()
+	return done
+}
+
+func (f *Follower[T]) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case err == nil:
+			backoff = firstBackoff
+			f.regained()
+			_ = pauser.Pause(ctx, f.pause)
+		case errors.Is(err, f.forgotten):
+			f.logger.Warn("history of the store is gone, listing anew", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision))
+			f.view.Revision = 0
+		default:
+			f.failed(ctx, err)
+			_ = pauser.Pause(ctx, backoff)
+			backoff = min(2*backoff, lastBackoff)
+		}
+	}
+}
+
+// step makes one call and applies what it brings.
+func (f *Follower[T]) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.callTimeout())
+	defer cancel()
+	if f.view.Revision == 0 {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+func (f *Follower[T]) callTimeout() time.Duration {
+	if f.view.Revision == 0 {
+		return callSlack
+	}
+	return f.wait + callSlack
+}
+
+func (f *Follower[T]) list(ctx context.Context) error {
+	items, revision, err := f.source.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.view = View[T]{Items: items, Revision: revision, HeardAt: f.clock()}
+	f.apply(f.view)
+	return nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context) error {
+	changes, revision, err := f.source.Watch(ctx, f.view.Revision, f.wait)
+	if err != nil {
+		return err
+	}
+	f.view = f.view.with(changes, max(revision, f.view.Revision), f.clock())
+	if len(changes) > 0 {
+		f.apply(f.view)
+	}
+	return nil
+}
+
+// with returns the view after the changes.
+func (v View[T]) with(changes []change.Change[T], revision int64, now time.Time) View[T] {
+	next := View[T]{Items: v.Items, Revision: revision, HeardAt: now, Changed: changes}
+	if len(changes) == 0 {
+		return next
+	}
+	next.Items = maps.Clone(v.Items)
+	for _, c := range changes {
+		if c.Removed {
+			delete(next.Items, c.Name)
+			continue
+		}
+		next.Items[c.Name] = c.Value
+	}
+	return next
+}
+
+func (f *Follower[T]) failed(ctx context.Context, err error) {
+	if f.lost || ctx.Err() != nil {
+		return
+	}
+	f.lost = true
+	f.logger.Warn("store lost", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision),
+		zap.Duration("age", f.clock().Sub(f.view.HeardAt)), zap.Error(err))
+}
+
+func (f *Follower[T]) regained() {
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.logger.Info("store regained", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision))
+}
--- /dev/null
+++ b/poplarhook/services/gateway/gateway.go
@@ -0,0 +1,197 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/budgeter"
+	"poplarhook.example/lib/deployment"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/poplarhook/models/divider"
+	"poplarhook.example/poplarhook/modules/exchanger"
+	"poplarhook.example/poplarhook/modules/meter"
+	"poplarhook.example/poplarhook/modules/screener"
+	"poplarhook.example/poplarhook/routers/caller"
+	"poplarhook.example/poplarhook/services/allowance"
+	"poplarhook.example/poplarhook/services/delayer"
+	"poplarhook.example/poplarhook/services/dispatcher"
+	"poplarhook.example/poplarhook/services/follower"
+	"poplarhook.example/poplarhook/services/locator"
+	"poplarhook.example/poplarhook/services/sender"
+	"poplarhook.example/poplarhook/services/surveyor"
+)
+
+// Gateway is one entry host on a platform that gives endpoints and configuration.
+type Gateway struct {
+	deployment deployment.Deployment
+	listeners  Listeners
+	platform   Platform
+	logger     *zap.Logger
+	clock      func() time.Time
+	meter      *meter.Meter
+
+	places     *locator.Locator
+	sender     *sender.Sender
+	surveyor   *surveyor.Surveyor
+	dispatcher *dispatcher.Dispatcher
+	callers    http.Handler
+	draining   atomic.Bool
+
+	mu sync.Mutex
+	// endpoints, configuration and zonesOut are what was last heard.
+	endpoints     follower.View[host.Host]
+	configuration snapshot.Snapshot
+	zonesOut      []string
+}
+
+// Listeners are where a gateway answers.
+type Listeners struct {
+	Callers net.Listener
+	Ready   net.Listener
+	Admin   net.Listener
+}
+
+// Platform is what a gateway gets from its platform.
+type Platform struct {
+	Dialect        Dialect
+	Configurations Feed[snapshot.Snapshot]
+	Endpoints      Feed[host.Host]
+	ZonesOut       Feed[json.RawMessage]
+	// Forgotten is the feeds' error after which items must be listed anew.
+	Forgotten error
+}
+
+// New returns a Gateway by settings that have passed their check; its parts end with the context.
+func New(ctx context.Context, d deployment.Deployment, l Listeners, p Platform, logger *zap.Logger, clock func() time.Time) *Gateway {
+	g := &Gateway{
+		deployment: d,
+		listeners:  l,
+		platform:   p,
+		logger:     logger,
+		clock:      clock,
+		meter:      meter.New("poplarhook"),
+		places:     locator.New(d.Region),
+	}
+	g.sender = sender.New(
+		sender.WithClock(clock),
+		sender.WithEncoder(p.Dialect),
+		sender.WithAges(proofAge, reuseAge),
+		sender.WithShare(func() int { return connectionSharers }),
+		sender.WithExchange(exchanger.WithUnframed(), exchanger.WithDialTimeout(dialTimeout)))
+	g.surveyor = surveyor.New(context.WithoutCancel(ctx), d.Region, g.places, asker{g},
+		surveyor.WithClock(clock),
+		surveyor.WithLogger(logger),
+		surveyor.WithCounter(g.meter.Count),
+		surveyor.WithSharers(g.coldSharers))
+	repeats := allowance.New(d.Bounds.RetryShare*retryShareUsed,
+		budgeter.WithMinimum(int(d.Bounds.RetrySlack*retrySlackUsed/assumedHosts)),
+		budgeter.WithWindow(d.Bounds.RetryWindow()))
+	g.dispatcher = dispatcher.New(g.surveyor, g.sender, g.places,
+		dispatcher.WithClock(clock),
+		dispatcher.WithReader(p.Dialect),
+		dispatcher.WithLogger(logger),
+		dispatcher.WithCounter(g.meter.Count),
+		dispatcher.WithHedges(delayer.New(), repeats),
+		dispatcher.WithRetries(repeats),
+		dispatcher.WithOnceRetries(repeats))
+	g.callers = caller.New(g.places.Classifier, g.dispatcher,
+		caller.WithClock(clock),
+		caller.WithDialect(p.Dialect),
+		caller.WithDivider(divider.New().Divide),
+		caller.WithLogger(logger),
+		caller.WithMaxBody(maxBody),
+		caller.WithScreen(screener.IsAmbiguous),
+		caller.WithCounter(g.meter.CountRequest))
+	return g
+}
+
+const (
+	// proofAge is below the shortest time in which an endpoint may close an idle connection; a look proves a
+	// connection a moment before it is used.
+	proofAge = 250 * time.Millisecond
+	// reuseAge is below the idle time after which endpoints close connections, as far as they state it.
+	reuseAge = 4 * time.Second
+	// dialTimeout bounds a new connection; the way to the farthest region takes some 25 ms.
+	dialTimeout = 250 * time.Millisecond
+	// connectionSharers is how many hosts are taken to share the connections that an endpoint accepts.
+	connectionSharers = 16
+	// assumedHosts is how many hosts are taken to share the slack of the retry budget.
+	assumedHosts = 17
+	// retryShareUsed and retrySlackUsed keep repeats under the deployment's bound where hosts count differently.
+	retryShareUsed = 0.7
+	retrySlackUsed = 0.7
+	// maxBody bounds what a request may hold in memory, in bytes.
+	maxBody = 64 << 20
+)
+
+// coldSharers returns how many hosts share the rate of a cold endpoint and whether this one is among them.
+func (g *Gateway) coldSharers(host.Host) (int, bool) {
+	return int(max(g.deployment.Bounds.ColdSlack, 1)), true
+}
+
+// setConfiguration puts the newest configuration in force; one that is older than that in force is not believed.
+func (g *Gateway) setConfiguration(v follower.View[snapshot.Snapshot]) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, one := range v.Items {
+		if one.Revision <= g.configuration.Revision {
+			continue
+		}
+		g.configuration = one
+		g.apply()
+		g.logger.Info("configuration in force", zap.Int64("version", one.Revision), zap.Int64("store_revision", v.Revision),
+			zap.Int("classes", len(one.Documents[0].Classes)))
+	}
+}
+
+// setEndpoints takes in the list of endpoints.
+func (g *Gateway) setEndpoints(v follower.View[host.Host]) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.endpoints = v
+	g.apply()
+	for _, c := range v.Changed {
+		g.logger.Info("endpoint changed", zap.String("endpoint", c.Name), zap.Bool("removed", c.Removed),
+			zap.String("state", c.Value.State), zap.String("incarnation", c.Value.Incarnation), zap.Int64("store_revision", v.Revision))
+	}
+	if v.Changed == nil {
+		g.logger.Info("endpoints listed", zap.Int("endpoints", len(v.Items)), zap.Int64("store_revision", v.Revision))
+	}
+}
+
+// setZonesOut takes in which availability zones operators have taken out.
+func (g *Gateway) setZonesOut(v follower.View[json.RawMessage]) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.zonesOut = g.zonesOut[:0]
+	for zone := range v.Items {
+		g.zonesOut = append(g.zonesOut, zone)
+	}
+	g.apply()
+	g.logger.Info("zones out", zap.Strings("zones", g.zonesOut), zap.Int64("store_revision", v.Revision))
+}
+
+// apply joins what was heard; the lock is held.
+func (g *Gateway) apply() {
+	if g.configuration.Revision > 0 {
+		g.places.SetSnapshot(g.configuration.WithZonesOut(g.zonesOut...))
+	}
+	d := directoryOf(g.endpoints, g.configuration)
+	g.places.SetDirectory(d)
+	g.sender.Retain(d.Endpoints())
+	g.surveyor.Retain(d.Endpoints())
+}
+
+// isReady reports whether the host should get new connections.
+func (g *Gateway) isReady() bool {
+	_, configured := g.places.Snapshot()
+	return configured && !g.draining.Load() && len(g.places.Groups()) > 0
+}
--- /dev/null
+++ b/poplarhook/services/gateway/run.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/pauser"
+	"poplarhook.example/poplarhook/modules/screener"
+	"poplarhook.example/poplarhook/modules/server"
+	"poplarhook.example/poplarhook/services/follower"
+)
+
+const (
+	// drainNotice is how long a host that stops still takes new connections: the balancer asks once a second and
+	// believes the second miss.
+	drainNotice = 2500 * time.Millisecond
+	// stopReserve is how long before the kill a stop ends.
+	stopReserve = 300 * time.Millisecond
+	// endpointsPause lets changes of endpoints gather, well under the time that a leaving one may still be used.
+	endpointsPause = 400 * time.Millisecond
+	// idleTimeout is how long callers' connections may be idle; those of the platform's callers use fewer.
+	idleTimeout = time.Minute
+)
+
+// Run answers until the context ends and the running requests are done; the channel gives the end.
+func (g *Gateway) Run(ctx context.Context) <-chan error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	options := []follower.Option{
+		follower.WithClock(g.clock),
+		follower.WithLogger(g.logger),
+		follower.WithForgotten(g.platform.Forgotten),
+	}
+	ends := []<-chan error{
+		follower.New("configuration", g.platform.Configurations, g.setConfiguration, options...).Run(background),
+		follower.New("zones out", g.platform.ZonesOut, g.setZonesOut, options...).Run(background),
+		follower.New("endpoints", g.platform.Endpoints, g.setEndpoints, append(options, follower.WithPause(endpointsPause))...).Run(background),
+		server.New(http.HandlerFunc(g.serveReady)).Run(background, g.listeners.Ready),
+		server.New(g.newAdmin()).Run(background, g.listeners.Admin),
+	}
+	limit := max(g.deployment.Bounds.Stop()-drainNotice-stopReserve, stopReserve)
+	callers, stopCallers := context.WithCancel(background)
+	answered := server.New(g.closing(g.callers),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithConnContext(screener.ConnContext),
+		server.WithDrainLimit(limit)).Run(callers, screener.New(g.listeners.Callers))
+	done := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		g.draining.Store(true)
+		g.logger.Info("stopping: no longer ready", zap.Duration("notice", drainNotice), zap.Duration("limit", limit))
+		_ = pauser.Pause(background, drainNotice)
+		stopCallers()
+		err := <-answered
+		stop()
+		for _, end := range ends {
+			if ended := <-end; err == nil {
+				err = ended
+			}
+		}
+		g.logger.Info("stopped", zap.Error(err))
+		_ = g.meter.Close()
+		done <- err
+	}()
+	return done
+}
+
+// closing asks callers to close their connections while the host stops.
+func (g *Gateway) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// newAdmin serves the metrics.
+func (g *Gateway) newAdmin() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", g.meter.Handler()).Methods(http.MethodGet)
+	return router
+}
--- a/poplarhook/services/sender/sender.go
+++ b/poplarhook/services/sender/sender.go
@@ -30,6 +30,8 @@
 	reuseAge time.Duration
 	share    func() int
 	lost     func(address string)
+	encoder  encoder
+	options  []exchanger.Option
 
 	mu         sync.RWMutex
 	exchangers map[string]*exchanger.Exchanger
@@ -58,6 +60,21 @@
 	return func(s *Sender) { s.lost = lost }
 }
 
+// encoder sets the headers that an endpoint reads on a message that holds the caller's own.
+type encoder interface {
+	Encode(message *http.Request, endpoint host.Host, j job.Job, left time.Duration)
+}
+
+// WithEncoder sets the headers that go to endpoints, for those that do not read the product's own.
+func WithEncoder(e encoder) Option {
+	return func(s *Sender) { s.encoder = e }
+}
+
+// WithExchange adds options for the connections to each endpoint.
+func WithExchange(options ...exchanger.Option) Option {
+	return func(s *Sender) { s.options = append(s.options, options...) }
+}
+
 const (
 	defaultProofAge    = 250 * time.Millisecond
 	defaultReuseAge    = 10 * time.Second
@@ -73,6 +90,7 @@
 		reuseAge:   defaultReuseAge,
 		share:      func() int { return 1 },
 		lost:       func(string) {},
+		encoder:    ownEncoder{},
 		exchangers: make(map[string]*exchanger.Exchanger),
 	}
 	for _, option := range options {
@@ -148,7 +166,12 @@
 	if e := s.exchangers[endpoint.Address]; e != nil {
 		return e
 	}
-	e = exchanger.New(endpoint.Address, exchanger.WithClock(s.clock), exchanger.WithMaxOpen(s.limit(endpoint)), exchanger.WithLostHook(s.lost))
+	options := append([]exchanger.Option{
+		exchanger.WithClock(s.clock),
+		exchanger.WithMaxOpen(s.limit(endpoint)),
+		exchanger.WithLostHook(s.lost),
+	}, s.options...)
+	e = exchanger.New(endpoint.Address, options...)
 	s.exchangers[endpoint.Address] = e
 	return e
 }
@@ -177,15 +200,23 @@
 	if len(j.Body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(j.Body))
 	}
-	request.Header.Set(HeaderRequestID, j.ID)
-	request.Header.Set(HeaderClass, j.Class.Name)
-	request.Header.Set(HeaderTimeout, formatTimeout(j.Until.Sub(s.clock())))
+	s.encoder.Encode(request, endpoint, j, j.Until.Sub(s.clock()))
 	if request.Header.Get("User-Agent") == "" {
 		request.Header["User-Agent"] = []string{""}
 	}
 	return request
 }
 
+// ownEncoder sets the product's own headers.
+type ownEncoder struct{}
+
+// Encode sets the request's id, its class and the time that is left.
+func (ownEncoder) Encode(message *http.Request, _ host.Host, j job.Job, left time.Duration) {
+	message.Header.Set(HeaderRequestID, j.ID)
+	message.Header.Set(HeaderClass, j.Class.Name)
+	message.Header.Set(HeaderTimeout, formatTimeout(left))
+}
+
 // connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
 var connectionHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
--- /dev/null
+++ b/poplarhook/services/surveyor/bind.go
@@ -0,0 +1,333 @@
+package surveyor
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/pauser"
+	"poplarhook.example/poplarhook/models/binding"
+	"poplarhook.example/poplarhook/models/estimator"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/refusal"
+	"poplarhook.example/poplarhook/models/report"
+	"poplarhook.example/poplarhook/models/wish"
+)
+
+const (
+	// looksAtOnce is how many endpoints are asked together; a trial found no gain from more than three.
+	looksAtOnce = 3
+	// lookWait is how long a request waits for looks in its own region, in excess of the way.
+	lookWait = 15 * time.Millisecond
+	// lookTimeout bounds a look, whose answer counts also after the request has stopped waiting for it.
+	lookTimeout = time.Second
+	// sendWithin is how long a choice holds; new connections count.
+	sendWithin = 300 * time.Millisecond
+	// reportAge is for how long a report says something about the slowness of the endpoint.
+	reportAge = 100 * time.Millisecond
+	// unheardSlowness is that of an endpoint with no recent report: a mean over its slow spells.
+	unheardSlowness = 1.5
+	// firstWay is taken for the way to another region before any look has measured it.
+	firstWay = 25 * time.Millisecond
+	// relook is the pause before endpoints that were all full are looked at again.
+	relook = 10 * time.Millisecond
+	// noneOpenWait is when a caller may come back while no endpoint is open.
+	noneOpenWait = 500 * time.Millisecond
+)
+
+// candidate is an endpoint that may get the request.
+type candidate struct {
+	group    group.Group
+	host     host.Host
+	cold     bool
+	estimate time.Duration
+	report   report.Report
+	lookedAt time.Time
+	// sentBefore is how many requests of this host were in flight there when the look was sent.
+	sentBefore int
+}
+
+// Bind looks at likely endpoints and takes the one that should answer soonest.
+func (s *Surveyor) Bind(ctx context.Context, w wish.Wish) (binding.Binding, error) {
+	for {
+		best, found := s.survey(ctx, w)
+		if !found {
+			s.logger.Warn("no endpoint is open", zap.String("request", w.Request), zap.String("class", w.Class))
+			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint is open").WithRetryAfter(noneOpenWait)
+		}
+		if !best.isFull() {
+			if b, taken := s.take(best, w); taken {
+				return b, nil
+			}
+			continue
+		}
+		if wait, hopeless := s.isHopeless(best, w); hopeless {
+			s.counter("bind_refused")
+			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "every endpoint is full").WithRetryAfter(wait)
+		}
+		if err := pauser.Pause(ctx, relook); err != nil {
+			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "every endpoint was full until the deadline").WithRetryAfter(noneOpenWait)
+		}
+	}
+}
+
+// isFull reports whether the endpoint would have to queue the request behind as many others as it has slots.
+func (c candidate) isFull() bool {
+	return c.report.Loaded && c.report.Waiting >= max(c.report.Slots, 1)
+}
+
+// isHopeless reports whether the request could not be answered in time by the best endpoint, and when to come back.
+func (s *Surveyor) isHopeless(best candidate, w wish.Wish) (time.Duration, bool) {
+	return best.estimate / 2, s.clock().Add(best.estimate).After(w.Until)
+}
+
+// survey looks at endpoints, the likeliest first, until one is good or all were seen.
+func (s *Surveyor) survey(ctx context.Context, w wish.Wish) (candidate, bool) {
+	var best candidate
+	found := false
+	for _, tier := range s.tiers(w) {
+		candidates := s.rank(w, tier)
+		for len(candidates) > 0 && ctx.Err() == nil {
+			n := min(looksAtOnce, len(candidates))
+			for _, c := range s.look(ctx, w, candidates[:n]) {
+				if !found || c.estimate < best.estimate {
+					best, found = c, true
+				}
+			}
+			candidates = candidates[n:]
+			if found && s.isGood(best, w) {
+				return best, true
+			}
+		}
+	}
+	return best, found
+}
+
+// tiers returns the groups of the own region and then those of the others.
+func (s *Surveyor) tiers(w wish.Wish) [][]group.Group {
+	var own, others []group.Group
+	for _, g := range w.Groups {
+		if g.Region == s.region {
+			own = append(own, g)
+			continue
+		}
+		others = append(others, g)
+	}
+	return [][]group.Group{own, others}
+}
+
+// isGood reports whether the endpoint should answer before the request's target.
+func (s *Surveyor) isGood(c candidate, w wish.Wish) bool {
+	return !c.isFull() && s.clock().Add(c.estimate).Before(w.Target)
+}
+
+// rank returns the endpoints of the groups that may get the request, the likeliest first.
+func (s *Surveyor) rank(w wish.Wish, groups []group.Group) []candidate {
+	now := s.clock()
+	var candidates []candidate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range groups {
+		for _, h := range s.source.OpenEndpoints(now, g) {
+			if c, open := s.candidateOf(now, w, g, h); open && h.ID != w.Excluded {
+				candidates = append(candidates, c)
+			}
+		}
+	}
+	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.estimate, b.estimate) })
+	return candidates
+}
+
+// candidateOf estimates an endpoint by what is known without a look, and reports whether it may get work. The lock is held.
+func (s *Surveyor) candidateOf(now time.Time, w wish.Wish, g group.Group, h host.Host) (candidate, bool) {
+	k := s.knowledgeOf(h)
+	c := candidate{group: g, host: h, cold: k.isCold(now), sentBefore: k.inFlight}
+	if k.replaced || (c.cold && !s.mayUseCold(now, h)) {
+		return c, false
+	}
+	state := s.stateOf(now, k, h)
+	c.estimate = estimator.Estimate(s.workOf(w), state)
+	if now.Before(k.passOverUntil) {
+		c.estimate += time.Minute
+	}
+	return c, true
+}
+
+func (s *Surveyor) mayUseCold(now time.Time, h host.Host) bool {
+	_, included := s.sharers(h)
+	return included && h.Region == s.region && s.gate.May(now, h.ID)
+}
+
+// stateOf returns what is known of the endpoint; old reports say nothing of its slowness. The lock is held.
+func (s *Surveyor) stateOf(now time.Time, k *knowledge, h host.Host) estimator.State {
+	state := estimator.State{
+		Running:  k.inFlight,
+		Slots:    h.Slots,
+		Slowness: unheardSlowness,
+		Failing:  s.reputation.Failing(now, h.ID),
+		Way:      s.wayTo(h.Region),
+		Cold:     k.isCold(now),
+	}
+	if now.Sub(k.lastAt) < reportAge {
+		state.Slowness = k.last.Slowness
+		state.Running = max(k.last.InFlight, k.inFlight)
+		state.Waiting = k.last.Waiting
+	}
+	return state
+}
+
+// workOf returns how long the request's work usually takes. The lock is held.
+func (s *Surveyor) workOf(w wish.Wish) time.Duration {
+	return s.estimator.Work(w.Class, w.Target.Sub(s.clock()))
+}
+
+// wayTo returns the time to the region and back. The lock is held.
+func (s *Surveyor) wayTo(region string) time.Duration {
+	if way, known := s.ways[region]; known {
+		return way
+	}
+	if region == s.region {
+		return 0
+	}
+	return firstWay
+}
+
+// look asks the endpoints together and returns those that answered in time, estimated anew.
+func (s *Surveyor) look(ctx context.Context, w wish.Wish, candidates []candidate) []candidate {
+	answers := make(chan candidate, len(candidates))
+	wait := lookWait
+	for _, c := range candidates {
+		s.mu.Lock()
+		wait = max(wait, lookWait+s.wayTo(c.host.Region)*2)
+		s.mu.Unlock()
+		go func() { answers <- s.ask(c) }() //nolint:contextcheck // a look outlasts the request that asked for it
+	}
+	timer := time.NewTimer(min(wait, w.Until.Sub(s.clock())))
+	defer timer.Stop()
+	var looked []candidate
+	for range candidates {
+		select {
+		case <-ctx.Done():
+			return looked
+		case <-timer.C:
+			return s.orUnlooked(looked, candidates)
+		case c := <-answers:
+			if c.report.Err != nil {
+				continue
+			}
+			if estimated, open := s.estimated(c, w); open {
+				looked = append(looked, estimated)
+			}
+		}
+	}
+	return looked
+}
+
+// orUnlooked returns the first candidate as it was known when no look was answered.
+func (s *Surveyor) orUnlooked(looked, candidates []candidate) []candidate {
+	if len(looked) > 0 {
+		return looked
+	}
+	s.counter("looks_unanswered")
+	first := candidates[0]
+	first.estimate += time.Minute
+	return []candidate{first}
+}
+
+// ask looks at one endpoint and takes its report in.
+func (s *Surveyor) ask(c candidate) candidate {
+	ctx, cancel := context.WithTimeout(s.background, lookTimeout)
+	defer cancel()
+	s.counter("looks")
+	askedAt := s.clock()
+	c.report = s.asker.Ask(ctx, c.host)
+	now := s.clock()
+	c.lookedAt = now
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.knowledgeOf(c.host)
+	if c.report.Err != nil {
+		k.passOverUntil = now.Add(unansweredFor)
+		return c
+	}
+	if c.report.Incarnation != "" && c.report.Incarnation != c.host.ID {
+		k.replaced = true
+		c.report.Err = errReplaced
+		return c
+	}
+	k.learn(now, c.report)
+	c.cold = k.isCold(now)
+	s.measureWay(c.host.Region, now.Sub(askedAt))
+	return c
+}
+
+// measureWay takes in how long a look took. The lock is held.
+func (s *Surveyor) measureWay(region string, took time.Duration) {
+	const weight = 8
+	way := s.wayTo(region)
+	s.ways[region] = way + (min(took, 4*firstWay)-way)/weight
+}
+
+// estimated returns the candidate with an estimate by its look, and reports whether it may get work.
+func (s *Surveyor) estimated(c candidate, w wish.Wish) (candidate, bool) {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.knowledgeOf(c.host)
+	since := max(k.inFlight-c.sentBefore, 0)
+	c.estimate = estimator.Estimate(s.workOf(w), estimator.State{
+		Running:  c.report.InFlight + since,
+		Waiting:  c.report.Waiting,
+		Slots:    max(c.report.Slots, c.host.Slots),
+		Slowness: c.report.Slowness,
+		Failing:  s.reputation.Failing(now, c.host.ID),
+		Way:      s.wayTo(c.host.Region),
+		Ill:      c.report.Status >= http.StatusMultipleChoices,
+		Cold:     c.cold,
+	})
+	return c, !c.cold || s.mayUseCold(now, c.host)
+}
+
+// count counts the request in at its endpoint, unless that is cold and has got its share.
+func (s *Surveyor) count(now time.Time, c candidate) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.knowledgeOf(c.host)
+	if k.isCold(now) {
+		if !s.mayUseCold(now, c.host) {
+			return false
+		}
+		sharers, _ := s.sharers(c.host)
+		s.gate.Pass(now, c.host.ID, c.host.ColdPerSecond, sharers)
+	}
+	k.inFlight++
+	return true
+}
+
+// take binds the request to the chosen endpoint, and reports whether that was possible.
+func (s *Surveyor) take(c candidate, w wish.Wish) (binding.Binding, bool) {
+	now := s.clock()
+	if !s.count(now, c) {
+		return binding.Binding{}, false
+	}
+	s.logger.Info("endpoint chosen", zap.String("request", w.Request), zap.String("endpoint", c.host.ID),
+		zap.String("region", c.host.Region), zap.Bool("cold", c.cold), zap.Int("running", c.report.InFlight),
+		zap.Int("waiting", c.report.Waiting), zap.Float64("slowness", c.report.Slowness),
+		zap.Duration("look_age", now.Sub(c.lookedAt)), zap.Duration("estimate", c.estimate))
+	return binding.Binding{
+		Group:    c.group,
+		Endpoint: c.host,
+		Alone:    true,
+		Free:     true,
+		SendBy:   now.Add(sendWithin),
+		Class:    w.Class,
+		Slowness: c.report.Slowness,
+		Idle:     c.report.Loaded && c.report.InFlight < max(c.report.Slots, 1) && c.report.Waiting == 0,
+	}, true
+}
