Bound how long a watch may hide that its history is gone

Ruled out: the configuration itself (the answer was 410 at last). Change: watches wait 1.2 s; an empty answer does not move the revision on.

--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -47,10 +47,10 @@
 }
 
 const (
-	// defaultWait is the longest that a watch may wait by the platform's page.
-	defaultWait = 25 * time.Second
+	// defaultWait is how long a watch that hears nothing may hide that its history is gone.
+	defaultWait = 1200 * time.Millisecond
 	// callSlack is how much longer than its wait a call may take, a slow store included.
-	callSlack = 3 * time.Second
+	callSlack = time.Second
 	// firstBackoff and lastBackoff bound the pause after a failed call; the last stays well under the time that
 	// hosts have to be up to date after an outage.
 	firstBackoff = 50 * time.Millisecond
@@ -162,10 +162,13 @@
 	if err != nil {
 		return err
 	}
-	f.view = f.view.with(changes, max(revision, f.view.Revision), f.clock())
-	if len(changes) > 0 {
-		f.apply(f.view)
+	if len(changes) == 0 {
+		// A store in trouble may hold changes back and still name a later revision: the next watch asks from the same one.
+		f.view.HeardAt = f.clock()
+		return nil
 	}
+	f.view = f.view.with(changes, max(revision, f.view.Revision), f.clock())
+	f.apply(f.view)
 	return nil
 }
 
