--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -21,6 +21,7 @@
 	"poplarhook.example/platform/feed"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/services/gateway"
+	"poplarhook.example/poplarhook/services/supplier"
 )
 
 // newGateway serves on a platform that gives endpoints and configuration.
@@ -54,6 +55,9 @@
 	if listeners.Ready, err = listenOn(ctx, "ready_listen", d.ReadyListen); err != nil {
 		return err
 	}
+	if listeners.Peers, err = listenOn(ctx, "peer_ports", d.PeerAddress()); err != nil {
+		return err
+	}
 	if listeners.Admin, err = listenOn(ctx, "peer_ports", d.AdminAddress()); err != nil {
 		return err
 	}
@@ -70,11 +74,15 @@
 	c := client.New(d.StoreAddress)
 	decode := decoder.New(d.RegionOf)
 	return gateway.Platform{
-		Dialect:        dialect.New(),
-		Configurations: feed.Configurations(c, decode, skipped),
-		Endpoints:      feed.Endpoints(c, decode, time.Now, skipped),
-		ZonesOut:       feed.ZonesOut(c),
-		Forgotten:      feed.ErrForgotten,
+		Dialect: dialect.New(),
+		Store: supplier.Store{
+			Configurations: feed.Configurations(c, decode, skipped),
+			Endpoints:      feed.Endpoints(c, decode, time.Now, skipped),
+			ZonesOut:       feed.ZonesOut(c),
+			Members:        feed.Members(c, skipped),
+			Register:       feed.Register(c),
+			Forgotten:      feed.ErrForgotten,
+		},
 	}
 }
 
--- /dev/null
+++ b/poplarhook/models/frame/frame.go
@@ -0,0 +1,44 @@
+package frame
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/change"
+	"poplarhook.example/poplarhook/models/view"
+)
+
+// Frame is one line of a stream: a view, its changes, or a sign of life.
+type Frame struct {
+	// Feed names the kind of the items, empty for a sign of life.
+	Feed     string          `json:"feed,omitempty"`
+	Revision int64           `json:"revision,omitempty"`
+	Items    json.RawMessage `json:"items,omitempty"`
+	Changes  json.RawMessage `json:"changes,omitempty"`
+	// Lost says that the sender no longer hears the store.
+	Lost bool `json:"lost,omitempty"`
+}
+
+// New returns the frame of a view: its changes if it has any, else all its items.
+func New[T any](feed string, v view.View[T]) (Frame, error) {
+	f := Frame{Feed: feed, Revision: v.Revision}
+	var err error
+	if v.Changed != nil {
+		f.Changes, err = json.Marshal(v.Changed)
+	} else {
+		f.Items, err = json.Marshal(v.Items)
+	}
+	return f, errors.Wrapf(err, "encode %s", feed)
+}
+
+// View returns the view that the frame holds.
+func View[T any](f Frame, now time.Time) (view.View[T], error) {
+	v := view.View[T]{Revision: f.Revision, HeardAt: now}
+	if f.Changes == nil {
+		return v, errors.Wrapf(json.Unmarshal(f.Items, &v.Items), "items of %s", f.Feed)
+	}
+	v.Changed = []change.Change[T]{}
+	return v, errors.Wrapf(json.Unmarshal(f.Changes, &v.Changed), "changes of %s", f.Feed)
+}
--- /dev/null
+++ b/poplarhook/models/view/doc.go
@@ -0,0 +1,2 @@
+// Package view holds what a host believes of the items of one kind.
+package view
--- /dev/null
+++ b/poplarhook/models/view/view.go
@@ -0,0 +1,51 @@
+package view
+
+import (
+	"maps"
+	"time"
+
+	"poplarhook.example/lib/change"
+)
+
+// View is the items of one kind at one revision of the store; it never changes.
+type View[T any] struct {
+	Items    map[string]T
+	Revision int64
+	// HeardAt is when the source last confirmed the view.
+	HeardAt time.Time
+	// Changed is what differs from the view before, nil when the items came as a whole.
+	Changed []change.Change[T]
+}
+
+// With returns the view after the changes, which the source told at the given time.
+func (v View[T]) With(changes []change.Change[T], revision int64, heardAt time.Time) View[T] {
+	next := View[T]{Items: maps.Clone(v.Items), Revision: revision, HeardAt: heardAt, Changed: changes}
+	if next.Items == nil {
+		next.Items = make(map[string]T)
+	}
+	for _, c := range changes {
+		if c.Removed {
+			delete(next.Items, c.Name)
+			continue
+		}
+		next.Items[c.Name] = c.Value
+	}
+	return next
+}
+
+// Merge returns the newer of two views and whether that is the other one.
+//
+// Changes may come on top of an older view than this one: those that this view
+// holds already do no harm, as each change names the whole item.
+func (v View[T]) Merge(other View[T]) (View[T], bool) {
+	switch {
+	case other.Revision < v.Revision:
+		return v, false
+	case other.Changed == nil:
+		return other, true
+	case other.Revision == v.Revision:
+		return v, false
+	default:
+		return v.With(other.Changed, other.Revision, other.HeardAt), true
+	}
+}
--- a/poplarhook/services/allowance/allowance.go
+++ b/poplarhook/services/allowance/allowance.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -9,9 +10,11 @@
 
 // Allowance is a budget of repeats for each service, safe for concurrent use.
 type Allowance struct {
-	options []budgeter.Option
+	// given is how many of the options New was given.
+	given int
 
 	mu      sync.Mutex
+	options []budgeter.Option
 	budgets map[string]*budgeter.Budgeter
 }
 
@@ -19,6 +22,7 @@
 func New(share float64, options ...budgeter.Option) *Allowance {
 	return &Allowance{
 		options: append([]budgeter.Option{budgeter.WithShare(share)}, options...),
+		given:   len(options) + 1,
 		budgets: make(map[string]*budgeter.Budgeter),
 	}
 }
@@ -33,6 +37,16 @@
 	return b
 }
 
+// SetMinimum sets how many repeats a service may get in a window however little work there is.
+func (a *Allowance) SetMinimum(minimum int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.options = append(slices.Clip(a.options[:a.given]), budgeter.WithMinimum(minimum))
+	for _, b := range a.budgets {
+		budgeter.WithMinimum(minimum)(b)
+	}
+}
+
 // Record counts a request for the service.
 func (a *Allowance) Record(now time.Time, service string) {
 	a.mu.Lock()
--- /dev/null
+++ b/poplarhook/services/broadcaster/broadcaster.go
@@ -0,0 +1,147 @@
+package broadcaster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"poplarhook.example/poplarhook/models/frame"
+)
+
+// PulseInterval is the time between signs of life on a stream, a third of the silence that its reader bears.
+const PulseInterval = 350 * time.Millisecond
+
+const (
+	// queueLength is how many frames a slow reader may fall behind.
+	queueLength = 256
+	// writeTimeout bounds one write to a reader.
+	writeTimeout = 2 * time.Second
+)
+
+// Broadcaster serves streams of frames while this host hears the store itself.
+type Broadcaster struct {
+	// whole returns frames that hold everything known.
+	whole func() []frame.Frame
+
+	mu      sync.Mutex
+	open    bool
+	lost    bool
+	readers map[chan frame.Frame]context.CancelFunc
+}
+
+// New returns a Broadcaster that serves nobody until it is opened; whole gives everything known.
+func New(whole func() []frame.Frame) *Broadcaster {
+	return &Broadcaster{whole: whole, readers: make(map[chan frame.Frame]context.CancelFunc)}
+}
+
+// SetOpen starts to serve, or ends all streams.
+func (b *Broadcaster) SetOpen(open bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open = open
+	if open {
+		return
+	}
+	for _, cancel := range b.readers {
+		cancel()
+	}
+}
+
+// SetLost tells readers whether this host hears the store.
+func (b *Broadcaster) SetLost(lost bool) {
+	b.mu.Lock()
+	changed := b.lost != lost
+	b.lost = lost
+	b.mu.Unlock()
+	if changed {
+		b.Send(frame.Frame{Lost: lost})
+	}
+}
+
+// Send hands the frame to every reader; one that has fallen behind too far is cut off.
+func (b *Broadcaster) Send(f frame.Frame) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for queue, cancel := range b.readers {
+		select {
+		case queue <- f:
+		default:
+			cancel()
+		}
+	}
+}
+
+// Readers returns how many streams are open.
+func (b *Broadcaster) Readers() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.readers)
+}
+
+// ServeHTTP streams frames until the reader leaves, or refuses with 503 while this host does not hear the store.
+func (b *Broadcaster) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	queue, ok := b.enter(cancel)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer b.leave(queue)
+	writer := json.NewEncoder(w)
+	control := http.NewResponseController(w)
+	write := func(f frame.Frame) bool {
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		return writer.Encode(f) == nil && control.Flush() == nil
+	}
+	for _, f := range b.whole() {
+		if !write(f) {
+			return
+		}
+	}
+	b.pump(ctx, queue, write)
+}
+
+// pump writes frames as they come and signs of life in between.
+func (b *Broadcaster) pump(ctx context.Context, queue <-chan frame.Frame, write func(f frame.Frame) bool) {
+	ticker := time.NewTicker(PulseInterval)
+	defer ticker.Stop()
+	for {
+		var f frame.Frame
+		select {
+		case <-ctx.Done():
+			return
+		case f = <-queue:
+		case <-ticker.C:
+			f.Lost = b.isLost()
+		}
+		if !write(f) {
+			return
+		}
+	}
+}
+
+func (b *Broadcaster) isLost() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lost
+}
+
+func (b *Broadcaster) enter(cancel context.CancelFunc) (chan frame.Frame, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.open || b.lost {
+		return nil, false
+	}
+	queue := make(chan frame.Frame, queueLength)
+	b.readers[queue] = cancel
+	return queue, true
+}
+
+func (b *Broadcaster) leave(queue chan frame.Frame) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.readers, queue)
+}
--- /dev/null
+++ b/poplarhook/services/broadcaster/doc.go
@@ -0,0 +1,2 @@
+// Package broadcaster tells other entry hosts what this one hears from the store.
+package broadcaster
--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,6 +9,7 @@
 
 	"poplarhook.example/lib/change"
 	"poplarhook.example/lib/pauser"
+	"poplarhook.example/poplarhook/models/view"
 )
 
 // ErrForgotten says that a source no longer knows the changes since a revision.
@@ -21,28 +21,25 @@
 	Watch(ctx context.Context, revision int64, wait time.Duration) ([]change.Change[T], int64, error)
 }
 
-// View is the items of one kind at one revision; it never changes.
-type View[T any] struct {
-	Items    map[string]T
-	Revision int64
-	// HeardAt is when the source last confirmed the view.
-	HeardAt time.Time
-	// Changed holds the names that differ from the view before, nil after a list.
-	Changed []change.Change[T]
+// shelf keeps the newest view.
+type shelf[T any] interface {
+	Get() view.View[T]
+	Put(v view.View[T])
 }
 
 // Follower follows one source.
 type Follower[T any] struct {
 	name      string
 	source    source[T]
-	apply     func(v View[T])
+	shelf     shelf[T]
 	clock     func() time.Time
 	wait      time.Duration
 	pause     time.Duration
 	forgotten error
+	forget    func()
 	logger    *zap.Logger
 
-	view View[T]
+	view view.View[T]
 	lost bool
 }
 
@@ -65,9 +62,21 @@
 	wait      time.Duration
 	pause     time.Duration
 	forgotten error
+	forget    func()
+	list      bool
 	logger    *zap.Logger
 }
 
+// WithWait sets how long a watch may wait for a change.
+func WithWait(wait time.Duration) Option {
+	return func(o *options) { o.wait = wait }
+}
+
+// WithList starts with a list, also when a view is known.
+func WithList() Option {
+	return func(o *options) { o.list = true }
+}
+
 // WithPause lets changes gather for some time before they are read.
 func WithPause(pause time.Duration) Option {
 	return func(o *options) { o.pause = pause }
@@ -78,9 +87,9 @@
 	return func(o *options) { o.clock = clock }
 }
 
-// WithForgotten names the source's error after which the items are listed anew.
-func WithForgotten(err error) Option {
-	return func(o *options) { o.forgotten = err }
+// WithForgotten names the source's error after which the items are listed anew, and what is called then.
+func WithForgotten(err error, forget func()) Option {
+	return func(o *options) { o.forgotten, o.forget = err, forget }
 }
 
 // WithLogger sets where the loss of the source and its return are logged.
@@ -88,16 +97,21 @@
 	return func(o *options) { o.logger = logger }
 }
 
-// New returns a Follower that hands each new view to apply.
-func New[T any](name string, s source[T], apply func(v View[T]), opts ...Option) *Follower[T] {
-	o := options{clock: time.Now, wait: defaultWait, forgotten: ErrForgotten, logger: zap.NewNop()}
+// New returns a Follower that puts each new view on the shelf and starts from the one that lies there.
+func New[T any](name string, s source[T], on shelf[T], opts ...Option) *Follower[T] {
+	o := options{clock: time.Now, wait: defaultWait, forgotten: ErrForgotten, forget: func() {}, logger: zap.NewNop()}
 	for _, option := range opts {
 		option(&o)
 	}
-	return &Follower[T]{
-		name: name, source: s, apply: apply,
-		clock: o.clock, wait: o.wait, pause: o.pause, forgotten: o.forgotten, logger: o.logger,
+	f := &Follower[T]{
+		name: name, source: s, shelf: on,
+		clock: o.clock, wait: o.wait, pause: o.pause, forgotten: o.forgotten, forget: o.forget, logger: o.logger,
+	}
+	f.view = on.Get()
+	if o.list {
+		f.view.Revision = 0
 	}
+	return f
 }
 
 // Run follows until the context ends; the channel gives the end.
@@ -122,6 +136,7 @@
 		case errors.Is(err, f.forgotten):
 			f.logger.Warn("history of the store is gone, listing anew", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision))
 			f.view.Revision = 0
+			f.forget()
 		default:
 			f.failed(ctx, err)
 			_ = pauser.Pause(ctx, backoff)
@@ -152,8 +167,8 @@
 	if err != nil {
 		return err
 	}
-	f.view = View[T]{Items: items, Revision: revision, HeardAt: f.clock()}
-	f.apply(f.view)
+	f.view = view.View[T]{Items: items, Revision: revision, HeardAt: f.clock()}
+	f.shelf.Put(f.view)
 	return nil
 }
 
@@ -167,28 +182,11 @@
 		f.view.HeardAt = f.clock()
 		return nil
 	}
-	f.view = f.view.with(changes, max(revision, f.view.Revision), f.clock())
-	f.apply(f.view)
+	f.view = f.view.With(changes, max(revision, f.view.Revision), f.clock())
+	f.shelf.Put(f.view)
 	return nil
 }
 
-// with returns the view after the changes.
-func (v View[T]) with(changes []change.Change[T], revision int64, now time.Time) View[T] {
-	next := View[T]{Items: v.Items, Revision: revision, HeardAt: now, Changed: changes}
-	if len(changes) == 0 {
-		return next
-	}
-	next.Items = maps.Clone(v.Items)
-	for _, c := range changes {
-		if c.Removed {
-			delete(next.Items, c.Name)
-			continue
-		}
-		next.Items[c.Name] = c.Value
-	}
-	return next
-}
-
 func (f *Follower[T]) failed(ctx context.Context, err error) {
 	if f.lost || ctx.Err() != nil {
 		return
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,8 +15,10 @@
 	"poplarhook.example/lib/budgeter"
 	"poplarhook.example/lib/deployment"
 	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/ranker"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/poplarhook/models/divider"
+	"poplarhook.example/poplarhook/models/view"
 	"poplarhook.example/poplarhook/modules/exchanger"
 	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/modules/screener"
@@ -23,9 +26,9 @@
 	"poplarhook.example/poplarhook/services/allowance"
 	"poplarhook.example/poplarhook/services/delayer"
 	"poplarhook.example/poplarhook/services/dispatcher"
-	"poplarhook.example/poplarhook/services/follower"
 	"poplarhook.example/poplarhook/services/locator"
 	"poplarhook.example/poplarhook/services/sender"
+	"poplarhook.example/poplarhook/services/supplier"
 	"poplarhook.example/poplarhook/services/surveyor"
 )
 
@@ -41,13 +44,19 @@
 	places     *locator.Locator
 	sender     *sender.Sender
 	surveyor   *surveyor.Surveyor
+	supplier   *supplier.Supplier
+	repeats    *allowance.Allowance
 	dispatcher *dispatcher.Dispatcher
 	callers    http.Handler
 	draining   atomic.Bool
+	// heard says that the views below are kept up to date.
+	heard atomic.Bool
+	// region ranks the entry hosts of the own region.
+	region atomic.Pointer[ranker.Ranker]
 
 	mu sync.Mutex
 	// endpoints, configuration and zonesOut are what was last heard.
-	endpoints     follower.View[host.Host]
+	endpoints     view.View[host.Host]
 	configuration snapshot.Snapshot
 	zonesOut      []string
 }
@@ -56,17 +65,14 @@
 type Listeners struct {
 	Callers net.Listener
 	Ready   net.Listener
+	Peers   net.Listener
 	Admin   net.Listener
 }
 
 // Platform is what a gateway gets from its platform.
 type Platform struct {
-	Dialect        Dialect
-	Configurations Feed[snapshot.Snapshot]
-	Endpoints      Feed[host.Host]
-	ZonesOut       Feed[json.RawMessage]
-	// Forgotten is the feeds' error after which items must be listed anew.
-	Forgotten error
+	Dialect Dialect
+	Store   supplier.Store
 }
 
 // New returns a Gateway by settings that have passed their check; its parts end with the context.
@@ -80,6 +86,8 @@
 		meter:      meter.New("poplarhook"),
 		places:     locator.New(d.Region),
 	}
+	alone := ranker.New(d.HostID)
+	g.region.Store(&alone)
 	g.sender = sender.New(
 		sender.WithClock(clock),
 		sender.WithEncoder(p.Dialect),
@@ -91,17 +99,17 @@
 		surveyor.WithLogger(logger),
 		surveyor.WithCounter(g.meter.Count),
 		surveyor.WithSharers(g.coldSharers))
-	repeats := allowance.New(d.Bounds.RetryShare*retryShareUsed,
-		budgeter.WithMinimum(int(d.Bounds.RetrySlack*retrySlackUsed/assumedHosts)),
+	g.repeats = allowance.New(d.Bounds.RetryShare*retryShareUsed,
+		budgeter.WithMinimum(0),
 		budgeter.WithWindow(d.Bounds.RetryWindow()))
 	g.dispatcher = dispatcher.New(g.surveyor, g.sender, g.places,
 		dispatcher.WithClock(clock),
 		dispatcher.WithReader(p.Dialect),
 		dispatcher.WithLogger(logger),
 		dispatcher.WithCounter(g.meter.Count),
-		dispatcher.WithHedges(delayer.New(), repeats),
-		dispatcher.WithRetries(repeats),
-		dispatcher.WithOnceRetries(repeats))
+		dispatcher.WithHedges(delayer.New(), g.repeats),
+		dispatcher.WithRetries(g.repeats),
+		dispatcher.WithOnceRetries(g.repeats))
 	g.callers = caller.New(g.places.Classifier, g.dispatcher,
 		caller.WithClock(clock),
 		caller.WithDialect(p.Dialect),
@@ -110,6 +118,21 @@
 		caller.WithMaxBody(maxBody),
 		caller.WithScreen(screener.IsAmbiguous),
 		caller.WithCounter(g.meter.CountRequest))
+	self := host.Host{
+		ID:               d.HostID,
+		Role:             host.RoleEntry,
+		Region:           d.Region,
+		AvailabilityZone: d.AvailabilityZone,
+		PeerAddress:      d.PeerAddress(),
+		State:            host.StateLive,
+	}
+	g.supplier = supplier.New(self, p.Store, supplier.Hooks{
+		Configuration: g.setConfiguration,
+		Endpoints:     g.setEndpoints,
+		ZonesOut:      g.setZonesOut,
+		Members:       g.setMembers,
+		Heard:         func(heard bool) { g.heard.Store(heard) },
+	}, supplier.WithClock(clock), supplier.WithLogger(logger), supplier.WithCounter(g.meter.Count))
 	return g
 }
 
@@ -123,8 +146,6 @@
 	dialTimeout = 250 * time.Millisecond
 	// connectionSharers is how many hosts are taken to share the connections that an endpoint accepts.
 	connectionSharers = 16
-	// assumedHosts is how many hosts are taken to share the slack of the retry budget.
-	assumedHosts = 17
 	// retryShareUsed and retrySlackUsed keep repeats under the deployment's bound where hosts count differently.
 	retryShareUsed = 0.7
 	retrySlackUsed = 0.7
@@ -133,12 +154,34 @@
 )
 
 // coldSharers returns how many hosts share the rate of a cold endpoint and whether this one is among them.
-func (g *Gateway) coldSharers(host.Host) (int, bool) {
-	return int(max(g.deployment.Bounds.ColdSlack, 1)), true
+//
+// Each of them may send one request at once, which the slack covers; together
+// they send at the declared rate.
+func (g *Gateway) coldSharers(endpoint host.Host) (int, bool) {
+	sharers := g.region.Load().Best(endpoint.ID, int(max(g.deployment.Bounds.ColdSlack, 1)))
+	return len(sharers), slices.Contains(sharers, g.deployment.HostID)
+}
+
+// setMembers takes in which entry hosts there are.
+func (g *Gateway) setMembers(v view.View[host.Host]) {
+	ids := []string{g.deployment.HostID}
+	hosts := len(v.Items)
+	if _, listed := v.Items[g.deployment.HostID]; !listed {
+		hosts++
+	}
+	for id, m := range v.Items {
+		if m.Region == g.deployment.Region {
+			ids = append(ids, id)
+		}
+	}
+	region := ranker.New(ids...)
+	g.region.Store(&region)
+	g.repeats.SetMinimum(int(g.deployment.Bounds.RetrySlack * retrySlackUsed / float64(hosts)))
+	g.logger.Info("entry hosts known", zap.Int("hosts", hosts), zap.Int("in_region", len(ids)), zap.Int64("store_revision", v.Revision))
 }
 
 // setConfiguration puts the newest configuration in force; one that is older than that in force is not believed.
-func (g *Gateway) setConfiguration(v follower.View[snapshot.Snapshot]) {
+func (g *Gateway) setConfiguration(v view.View[snapshot.Snapshot]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, one := range v.Items {
@@ -153,7 +196,7 @@
 }
 
 // setEndpoints takes in the list of endpoints.
-func (g *Gateway) setEndpoints(v follower.View[host.Host]) {
+func (g *Gateway) setEndpoints(v view.View[host.Host]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endpoints = v
@@ -168,7 +211,7 @@
 }
 
 // setZonesOut takes in which availability zones operators have taken out.
-func (g *Gateway) setZonesOut(v follower.View[json.RawMessage]) {
+func (g *Gateway) setZonesOut(v view.View[json.RawMessage]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.zonesOut = g.zonesOut[:0]
--- a/poplarhook/services/gateway/platform.go
+++ b/poplarhook/services/gateway/platform.go
@@ -7,7 +7,6 @@
 	"net/url"
 	"time"
 
-	"poplarhook.example/lib/change"
 	"poplarhook.example/lib/class"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/snapshot"
@@ -15,15 +14,9 @@
 	"poplarhook.example/poplarhook/models/directory"
 	"poplarhook.example/poplarhook/models/job"
 	"poplarhook.example/poplarhook/models/report"
-	"poplarhook.example/poplarhook/services/follower"
+	"poplarhook.example/poplarhook/models/view"
 )
 
-// Feed lists and watches the items of one kind.
-type Feed[T any] interface {
-	List(ctx context.Context) (map[string]T, int64, error)
-	Watch(ctx context.Context, revision int64, wait time.Duration) ([]change.Change[T], int64, error)
-}
-
 // Dialect reads and writes the platform's headers.
 type Dialect interface {
 	RequestID(header http.Header) string
@@ -36,7 +29,7 @@
 }
 
 // directoryOf arranges the listed endpoints with what the configuration says of their services.
-func directoryOf(v follower.View[host.Host], s snapshot.Snapshot) *directory.Directory {
+func directoryOf(v view.View[host.Host], s snapshot.Snapshot) *directory.Directory {
 	hosts := make([]host.Host, 0, len(v.Items))
 	for _, h := range v.Items {
 		if declared, known := s.Service(h.Service); known {
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -11,7 +11,7 @@
 	"poplarhook.example/lib/pauser"
 	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/server"
-	"poplarhook.example/poplarhook/services/follower"
+	"poplarhook.example/poplarhook/services/subscriber"
 )
 
 const (
@@ -20,8 +20,6 @@
 	drainNotice = 2500 * time.Millisecond
 	// stopReserve is how long before the kill a stop ends.
 	stopReserve = 300 * time.Millisecond
-	// endpointsPause lets changes of endpoints gather, well under the time that a leaving one may still be used.
-	endpointsPause = 400 * time.Millisecond
 	// idleTimeout is how long callers' connections may be idle; those of the platform's callers use fewer.
 	idleTimeout = time.Minute
 )
@@ -29,15 +27,10 @@
 // Run answers until the context ends and the running requests are done; the channel gives the end.
 func (g *Gateway) Run(ctx context.Context) <-chan error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	options := []follower.Option{
-		follower.WithClock(g.clock),
-		follower.WithLogger(g.logger),
-		follower.WithForgotten(g.platform.Forgotten),
-	}
+	supply, stopSupply := context.WithCancel(background)
 	ends := []<-chan error{
-		follower.New("configuration", g.platform.Configurations, g.setConfiguration, options...).Run(background),
-		follower.New("zones out", g.platform.ZonesOut, g.setZonesOut, options...).Run(background),
-		follower.New("endpoints", g.platform.Endpoints, g.setEndpoints, append(options, follower.WithPause(endpointsPause))...).Run(background),
+		g.supplier.Run(supply),
+		server.New(g.newPeers()).Run(background, g.listeners.Peers),
 		server.New(http.HandlerFunc(g.serveReady)).Run(background, g.listeners.Ready),
 		server.New(g.newAdmin()).Run(background, g.listeners.Admin),
 	}
@@ -55,6 +48,7 @@
 		_ = pauser.Pause(background, drainNotice)
 		stopCallers()
 		err := <-answered
+		stopSupply()
 		stop()
 		for _, end := range ends {
 			if ended := <-end; err == nil {
@@ -92,3 +86,10 @@
 	router.Handle("/metrics", g.meter.Handler()).Methods(http.MethodGet)
 	return router
 }
+
+// newPeers serves other entry hosts.
+func (g *Gateway) newPeers() http.Handler {
+	router := mux.NewRouter()
+	router.Handle(subscriber.Path, g.supplier.Broadcaster()).Methods(http.MethodGet)
+	return router
+}
--- /dev/null
+++ b/poplarhook/services/supplier/store.go
@@ -0,0 +1,249 @@
+package supplier
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/pauser"
+	"poplarhook.example/poplarhook/models/view"
+	"poplarhook.example/poplarhook/services/follower"
+)
+
+const (
+	// checkInterval is how often the store is asked for its revision. With checkTimeout, a second host's turn and a
+	// list it stays under the two seconds within which a configuration must be in force.
+	checkInterval = time.Second
+	// checkTimeout bounds one such question; a slow store takes some 300 ms.
+	checkTimeout = 600 * time.Millisecond
+	// checkRetry is the pause after a question that was not answered.
+	checkRetry = 250 * time.Millisecond
+	// checkRetryMax bounds that pause while the store stays away.
+	checkRetryMax = time.Second
+	// endpointsPause lets changes of endpoints gather, well under the time that a leaving one may still be used.
+	endpointsPause = 300 * time.Millisecond
+	// watchWait is how long a watch waits; the check notices one that hears nothing.
+	watchWait = 25 * time.Second
+	// settleTime is how long a watch may take to bring a change that the check has seen, the pause included.
+	settleTime = 700 * time.Millisecond
+)
+
+// direct is one spell in which this host follows the store itself.
+type direct struct {
+	s *Supplier
+	// heard says that the store answered the last question.
+	heard atomic.Bool
+	// watching ends the watches that run, nil while there are none.
+	watching context.CancelFunc
+	watches  sync.WaitGroup
+	// forgotten tells that a watch has lost its history, so that the others may have missed changes too.
+	forgotten chan struct{}
+	// behindSince is since when the store's revision is above what the watches brought, zero if it is not.
+	behindSince time.Time
+}
+
+// follow follows the store until another host has taken over.
+func (s *Supplier) follow(ctx context.Context) {
+	spell, end := context.WithCancel(ctx)
+	defer end()
+	d := &direct{s: s, forgotten: make(chan struct{}, 1)}
+	s.counter("source_store")
+	s.logger.Info("following the store")
+	s.broadcaster.SetLost(true)
+	s.broadcaster.SetOpen(true)
+	reviewed := make(chan struct{})
+	go func() {
+		s.review(ctx, spell, end)
+		close(reviewed)
+	}()
+	d.check(spell)
+	d.stopWatches()
+	s.broadcaster.SetOpen(false)
+	<-reviewed
+}
+
+// review looks for another host that follows the store for this one, and ends the spell once it is heard.
+//
+// It returns when that host is heard no longer, or with the spell.
+func (s *Supplier) review(ctx, spell context.Context, end context.CancelFunc) {
+	for {
+		if pauser.Pause(spell, reviewInterval) != nil {
+			return
+		}
+		if source := s.choose(); source.ID != s.self.ID {
+			s.read(ctx, source, end)
+		}
+	}
+}
+
+// check asks for the store's revision until the spell ends; its answer is also the list of the zones that are out.
+func (d *direct) check(ctx context.Context) {
+	retry := checkRetry
+	for ctx.Err() == nil {
+		pause := checkInterval
+		err := d.ask(ctx)
+		switch {
+		case err == nil:
+			d.hear(ctx)
+			retry = checkRetry
+		case ctx.Err() == nil:
+			d.miss(err)
+			pause = retry
+			retry = min(2*retry, checkRetryMax)
+		}
+		d.pause(ctx, pause)
+	}
+}
+
+// pause waits for the next question; meanwhile all is listed anew when a watch has lost its history.
+func (d *direct) pause(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.forgotten:
+		d.stopWatches()
+		d.startWatches(ctx, follower.WithList())
+	}
+}
+
+// ask lists the zones that are out and compares the store's revision with what the watches brought.
+func (d *direct) ask(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	items, revision, err := d.s.store.ZonesOut.List(ctx)
+	if err != nil {
+		return err
+	}
+	now := d.s.clock()
+	known := d.s.zonesOut.Get()
+	if known.Revision == 0 || !sameNames(known.Items, items) {
+		d.s.zonesOut.Put(view.View[json.RawMessage]{Items: items, Revision: revision, HeardAt: now})
+	}
+	d.compare(now, revision)
+	return nil
+}
+
+// compare starts the watches anew from lists when the store has been ahead of them for too long.
+func (d *direct) compare(now time.Time, revision int64) {
+	if d.watching == nil || revision <= d.newest() {
+		d.behindSince = time.Time{}
+		return
+	}
+	if d.behindSince.IsZero() {
+		d.behindSince = now
+		return
+	}
+	if now.Sub(d.behindSince) < settleTime {
+		return
+	}
+	d.s.logger.Warn("the store is ahead of its watches, listing anew", zap.Int64("store_revision", revision), zap.Int64("revision", d.newest()))
+	d.behindSince = time.Time{}
+	d.forget()
+}
+
+// newest returns the highest revision that is known.
+func (d *direct) newest() int64 {
+	s := d.s
+	return max(s.configuration.Get().Revision, s.endpoints.Get().Revision, s.members.Get().Revision, s.zonesOut.Get().Revision)
+}
+
+func (d *direct) miss(err error) {
+	if d.heard.Swap(false) {
+		d.s.logger.Warn("store lost", zap.Error(err), zap.Int64("revision", d.newest()))
+		d.s.heard(false)
+	}
+	d.s.broadcaster.SetLost(true)
+}
+
+func (d *direct) hear(ctx context.Context) {
+	if !d.heard.Swap(true) {
+		d.s.logger.Info("store heard", zap.Int64("revision", d.newest()))
+	}
+	if d.watching == nil {
+		d.startWatches(ctx)
+	}
+	d.s.heard(true)
+	d.s.broadcaster.SetLost(false)
+}
+
+// startWatches watches from what is known on.
+func (d *direct) startWatches(ctx context.Context, more ...follower.Option) {
+	s := d.s
+	ctx, d.watching = context.WithCancel(ctx)
+	options := append([]follower.Option{
+		follower.WithClock(s.clock),
+		follower.WithLogger(s.logger),
+		follower.WithForgotten(s.store.Forgotten, d.forget),
+		follower.WithWait(watchWait),
+	}, more...)
+	gathering := append(options, follower.WithPause(endpointsPause))
+	ends := []<-chan error{
+		follower.New(feedConfiguration, s.store.Configurations, s.configuration, options...).Run(ctx),
+		follower.New(feedEndpoints, s.store.Endpoints, s.endpoints, gathering...).Run(ctx),
+		follower.New(feedMembers, s.store.Members, s.members, gathering...).Run(ctx),
+	}
+	for _, end := range ends {
+		d.watches.Go(func() { <-end })
+	}
+}
+
+// forget has everything listed anew.
+func (d *direct) forget() {
+	select {
+	case d.forgotten <- struct{}{}:
+	default:
+	}
+}
+
+func (d *direct) stopWatches() {
+	if d.watching == nil {
+		return
+	}
+	d.watching()
+	d.watching = nil
+	d.watches.Wait()
+}
+
+func sameNames[T any](a, b map[string]T) bool {
+	return maps.EqualFunc(a, b, func(T, T) bool { return true })
+}
+
+const (
+	firstRegisterPause = 200 * time.Millisecond
+	lastRegisterPause  = 2 * time.Second
+)
+
+// register writes this host's entry until the store has taken it; the channel gives the end.
+func (s *Supplier) register(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		pause := firstRegisterPause
+		for ctx.Err() == nil {
+			err := s.registerOnce(ctx)
+			if err == nil {
+				break
+			}
+			s.logger.Warn("own entry is not written yet", zap.Error(err))
+			_ = pauser.Pause(ctx, pause)
+			pause = min(2*pause, lastRegisterPause)
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// registerTimeout bounds one try to write the own entry.
+const registerTimeout = 2 * time.Second
+
+func (s *Supplier) registerOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	return s.store.Register(ctx, s.self)
+}
--- /dev/null
+++ b/poplarhook/services/supplier/supplier.go
@@ -0,0 +1,279 @@
+package supplier
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/change"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/ranker"
+	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/poplarhook/models/frame"
+	"poplarhook.example/poplarhook/models/view"
+	"poplarhook.example/poplarhook/services/broadcaster"
+	"poplarhook.example/poplarhook/services/shelf"
+	"poplarhook.example/poplarhook/services/subscriber"
+)
+
+// Feed lists and watches the items of one kind in the store.
+type Feed[T any] interface {
+	List(ctx context.Context) (map[string]T, int64, error)
+	Watch(ctx context.Context, revision int64, wait time.Duration) ([]change.Change[T], int64, error)
+}
+
+// Store is what the store holds for an entry host.
+type Store struct {
+	Configurations Feed[snapshot.Snapshot]
+	Endpoints      Feed[host.Host]
+	ZonesOut       Feed[json.RawMessage]
+	Members        Feed[host.Host]
+	// Register writes this host's own entry, by which others find it.
+	Register func(ctx context.Context, self host.Host) error
+	// Forgotten is the feeds' error after which items must be listed anew.
+	Forgotten error
+}
+
+// Names of the feeds in frames.
+const (
+	feedConfiguration = "configuration"
+	feedEndpoints     = "endpoints"
+	feedZonesOut      = "zones_out"
+	feedMembers       = "members"
+)
+
+// Hooks take in each newer view; they must not block.
+type Hooks struct {
+	Configuration func(v view.View[snapshot.Snapshot])
+	Endpoints     func(v view.View[host.Host])
+	ZonesOut      func(v view.View[json.RawMessage])
+	Members       func(v view.View[host.Host])
+	// Heard is called with whether this host's views are kept up to date.
+	Heard func(heard bool)
+}
+
+// Supplier keeps the views of one host.
+type Supplier struct {
+	self        host.Host
+	store       Store
+	clock       func() time.Time
+	logger      *zap.Logger
+	counter     func(event string)
+	broadcaster *broadcaster.Broadcaster
+	subscriber  *subscriber.Subscriber
+	heard       func(heard bool)
+
+	configuration *shelf.Shelf[snapshot.Snapshot]
+	endpoints     *shelf.Shelf[host.Host]
+	zonesOut      *shelf.Shelf[json.RawMessage]
+	members       *shelf.Shelf[host.Host]
+
+	mu        sync.Mutex
+	penalties map[string]penalty
+}
+
+// penalty keeps a host that did not serve from being asked at once again.
+type penalty struct {
+	until time.Time
+	last  time.Duration
+}
+
+const (
+	firstPenalty = 2 * time.Second
+	lastPenalty  = 30 * time.Second
+	// reviewInterval is how often a host that follows the store looks whether another one should do so for it.
+	reviewInterval = time.Second
+)
+
+// Option changes how a Supplier is built.
+type Option func(*Supplier)
+
+// WithClock sets the source of the present time.
+func WithClock(clock func() time.Time) Option {
+	return func(s *Supplier) { s.clock = clock }
+}
+
+// WithLogger sets where changes of the source are logged.
+func WithLogger(logger *zap.Logger) Option {
+	return func(s *Supplier) { s.logger = logger }
+}
+
+// WithCounter sets where events are counted.
+func WithCounter(count func(event string)) Option {
+	return func(s *Supplier) { s.counter = count }
+}
+
+// New returns a Supplier of the host that hands each newer view to the hooks.
+func New(self host.Host, store Store, hooks Hooks, options ...Option) *Supplier {
+	s := &Supplier{
+		self:       self,
+		store:      store,
+		clock:      time.Now,
+		logger:     zap.NewNop(),
+		counter:    func(string) {},
+		subscriber: subscriber.New(),
+		heard:      hooks.Heard,
+		penalties:  make(map[string]penalty),
+	}
+	for _, option := range options {
+		option(s)
+	}
+	s.broadcaster = broadcaster.New(s.whole)
+	s.configuration = shelf.New(hooks.Configuration, tell[snapshot.Snapshot](s, feedConfiguration))
+	s.endpoints = shelf.New(hooks.Endpoints, tell[host.Host](s, feedEndpoints))
+	s.zonesOut = shelf.New(hooks.ZonesOut, tell[json.RawMessage](s, feedZonesOut))
+	s.members = shelf.New(hooks.Members, tell[host.Host](s, feedMembers))
+	return s
+}
+
+// Broadcaster serves the views of this host to others.
+func (s *Supplier) Broadcaster() *broadcaster.Broadcaster {
+	return s.broadcaster
+}
+
+// tell returns a hook that sends each newer view to the readers.
+func tell[T any](s *Supplier, feed string) func(v view.View[T]) {
+	return func(v view.View[T]) {
+		f, err := frame.New(feed, v)
+		if err != nil {
+			s.logger.Error("view cannot be told", zap.String("feed", feed), zap.Error(err))
+			return
+		}
+		s.broadcaster.Send(f)
+	}
+}
+
+// whole returns everything known as frames.
+func (s *Supplier) whole() []frame.Frame {
+	var frames []frame.Frame
+	frames = appendWhole(frames, feedMembers, s.members.Get())
+	frames = appendWhole(frames, feedZonesOut, s.zonesOut.Get())
+	frames = appendWhole(frames, feedEndpoints, s.endpoints.Get())
+	return appendWhole(frames, feedConfiguration, s.configuration.Get())
+}
+
+func appendWhole[T any](frames []frame.Frame, feed string, v view.View[T]) []frame.Frame {
+	if v.Revision == 0 {
+		return frames
+	}
+	v.Changed = nil
+	f, err := frame.New(feed, v)
+	if err != nil {
+		return frames
+	}
+	return append(frames, f)
+}
+
+// Run keeps the views up to date until the context ends; the channel gives the end.
+func (s *Supplier) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	registered := s.register(ctx)
+	go func() {
+		s.run(ctx)
+		done <- <-registered
+	}()
+	return done
+}
+
+func (s *Supplier) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		source := s.choose()
+		if source.ID == s.self.ID {
+			s.follow(ctx)
+			continue
+		}
+		s.read(ctx, source, func() {})
+	}
+}
+
+// read follows the views of another host until that ends, and then keeps away from it for a while.
+func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) {
+	first := true
+	startedAt := s.clock()
+	err := s.subscriber.Read(ctx, source.PeerAddress, func(f frame.Frame) error {
+		if err := s.take(f); err != nil {
+			return err
+		}
+		if first {
+			first = false
+			begun()
+			s.heard(true)
+			s.counter("source_peer")
+			s.logger.Info("following an entry host", zap.String("source", source.ID), zap.String("address", source.PeerAddress))
+		}
+		return nil
+	})
+	if ctx.Err() != nil {
+		return
+	}
+	if !first {
+		s.heard(false)
+	}
+	s.penalise(source.ID, s.clock().Sub(startedAt))
+	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.Error(err))
+}
+
+// take puts the view of a frame on its shelf.
+func (s *Supplier) take(f frame.Frame) error {
+	now := s.clock()
+	switch f.Feed {
+	case feedConfiguration:
+		return put(s.configuration, f, now)
+	case feedEndpoints:
+		return put(s.endpoints, f, now)
+	case feedZonesOut:
+		return put(s.zonesOut, f, now)
+	case feedMembers:
+		return put(s.members, f, now)
+	default:
+		return nil
+	}
+}
+
+func put[T any](on *shelf.Shelf[T], f frame.Frame, now time.Time) error {
+	v, err := frame.View[T](f, now)
+	if err != nil {
+		return err
+	}
+	on.Put(v)
+	return nil
+}
+
+// choose returns the host that should follow the store for this region.
+func (s *Supplier) choose() host.Host {
+	members := s.members.Get().Items
+	ids := []string{s.self.ID}
+	for id, m := range members {
+		if m.Region == s.self.Region {
+			ids = append(ids, id)
+		}
+	}
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ranker.New(ids...).Rank(s.self.Region) {
+		if id == s.self.ID {
+			return s.self
+		}
+		if !now.Before(s.penalties[id].until) {
+			return members[id]
+		}
+	}
+	return s.self
+}
+
+// penalise keeps away from a host, longer each time unless it has served for long.
+func (s *Supplier) penalise(id string, served time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.penalties[id]
+	p.last = min(max(2*p.last, firstPenalty), lastPenalty)
+	if served > lastPenalty {
+		p.last = firstPenalty
+	}
+	p.until = s.clock().Add(p.last)
+	s.penalties[id] = p
+}
