--- a/lib/deployment/deployment.go
+++ b/lib/deployment/deployment.go
@@ -25,8 +25,10 @@
 	ReadyListen  string            `json:"ready_listen"`
 	PeerPorts    []int             `json:"peer_ports"`
 	StoreAddress string            `json:"store_address"`
-	MemoryMB     int               `json:"memory_mb"`
-	Bounds       Bounds            `json:"bounds"`
+	// HistoryS is for how long the store keeps changes, in seconds.
+	HistoryS float64 `json:"history_s"`
+	MemoryMB int     `json:"memory_mb"`
+	Bounds   Bounds  `json:"bounds"`
 }
 
 // Bounds are the figures that the deployment promises to its users.
@@ -129,6 +131,7 @@
 		field string
 		value float64
 	}{
+		{"history_s", d.HistoryS},
 		{"bounds.configuration_ms", float64(d.Bounds.ConfigurationMS)},
 		{"bounds.leaving_ms", float64(d.Bounds.LeavingMS)},
 		{"bounds.zone_out_ms", float64(d.Bounds.ZoneOutMS)},
--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -19,6 +19,7 @@
 	"poplarhook.example/platform/decoder"
 	"poplarhook.example/platform/dialect"
 	"poplarhook.example/platform/feed"
+	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/services/gateway"
 	"poplarhook.example/poplarhook/services/supplier"
@@ -62,16 +63,17 @@
 		return err
 	}
 	logger.Info("starting", zap.String("listen", d.Listen), zap.String("region", d.Region), zap.String("availability_zone", d.AvailabilityZone))
-	g := gateway.New(ctx, d, listeners, newPlatform(d, logger), logger, time.Now)
+	m := meter.New("poplarhook")
+	g := gateway.New(ctx, d, listeners, newPlatform(d, logger, m.Count), m, logger, time.Now)
 	return errors.Wrap(<-g.Run(ctx), "gateway")
 }
 
 // newPlatform returns the platform of the deployment.
-func newPlatform(d deployment.Deployment, logger *zap.Logger) gateway.Platform {
+func newPlatform(d deployment.Deployment, logger *zap.Logger, count func(event string)) gateway.Platform {
 	skipped := func(name string, err error) {
 		logger.Warn("object of the store is left out", zap.String("object", name), zap.Error(err))
 	}
-	c := client.New(d.StoreAddress)
+	c := client.New(d.StoreAddress, client.WithCounter(count))
 	decode := decoder.New(d.RegionOf)
 	return gateway.Platform{
 		Dialect: dialect.New(),
--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -37,6 +37,8 @@
 	pause     time.Duration
 	forgotten error
 	forget    func()
+	listed    func(revision int64)
+	changed   func(changes int)
 	logger    *zap.Logger
 
 	view view.View[T]
@@ -63,6 +65,8 @@
 	pause     time.Duration
 	forgotten error
 	forget    func()
+	listed    func(revision int64)
+	changed   func(changes int)
 	list      bool
 	logger    *zap.Logger
 }
@@ -77,6 +81,11 @@
 	return func(o *options) { o.list = true }
 }
 
+// WithTally sets what is told the revision of each list, and how many changes each watch brought.
+func WithTally(listed func(revision int64), changed func(changes int)) Option {
+	return func(o *options) { o.listed, o.changed = listed, changed }
+}
+
 // WithPause lets changes gather for some time before they are read.
 func WithPause(pause time.Duration) Option {
 	return func(o *options) { o.pause = pause }
@@ -99,13 +108,17 @@
 
 // New returns a Follower that puts each new view on the shelf and starts from the one that lies there.
 func New[T any](name string, s source[T], on shelf[T], opts ...Option) *Follower[T] {
-	o := options{clock: time.Now, wait: defaultWait, forgotten: ErrForgotten, forget: func() {}, logger: zap.NewNop()}
+	o := options{
+		clock: time.Now, wait: defaultWait, forgotten: ErrForgotten, forget: func() {},
+		listed: func(int64) {}, changed: func(int) {}, logger: zap.NewNop(),
+	}
 	for _, option := range opts {
 		option(&o)
 	}
 	f := &Follower[T]{
 		name: name, source: s, shelf: on,
-		clock: o.clock, wait: o.wait, pause: o.pause, forgotten: o.forgotten, forget: o.forget, logger: o.logger,
+		clock: o.clock, wait: o.wait, pause: o.pause, forgotten: o.forgotten, forget: o.forget,
+		listed: o.listed, changed: o.changed, logger: o.logger,
 	}
 	f.view = on.Get()
 	if o.list {
@@ -168,6 +181,7 @@
 		return err
 	}
 	f.view = view.View[T]{Items: items, Revision: revision, HeardAt: f.clock()}
+	f.listed(revision)
 	f.shelf.Put(f.view)
 	return nil
 }
@@ -178,10 +192,12 @@
 		return err
 	}
 	if len(changes) == 0 {
-		// A store in trouble may hold changes back and still name a later revision: the next watch asks from the same one.
+		// Without changes the history from the old revision on would be gone some time.
+		f.view.Revision = max(revision, f.view.Revision)
 		f.view.HeardAt = f.clock()
 		return nil
 	}
+	f.changed(len(changes))
 	f.view = f.view.With(changes, max(revision, f.view.Revision), f.clock())
 	f.shelf.Put(f.view)
 	return nil
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -76,14 +76,14 @@
 }
 
 // New returns a Gateway by settings that have passed their check; its parts end with the context.
-func New(ctx context.Context, d deployment.Deployment, l Listeners, p Platform, logger *zap.Logger, clock func() time.Time) *Gateway {
+func New(ctx context.Context, d deployment.Deployment, l Listeners, p Platform, m *meter.Meter, logger *zap.Logger, clock func() time.Time) *Gateway {
 	g := &Gateway{
 		deployment: d,
 		listeners:  l,
 		platform:   p,
 		logger:     logger,
 		clock:      clock,
-		meter:      meter.New("poplarhook"),
+		meter:      m,
 		places:     locator.New(d.Region),
 	}
 	alone := ranker.New(d.HostID)
@@ -132,7 +132,8 @@
 		ZonesOut:      g.setZonesOut,
 		Members:       g.setMembers,
 		Heard:         func(heard bool) { g.heard.Store(heard) },
-	}, supplier.WithClock(clock), supplier.WithLogger(logger), supplier.WithCounter(g.meter.Count))
+	}, supplier.WithClock(clock), supplier.WithLogger(logger), supplier.WithCounter(g.meter.Count),
+		supplier.WithHistory(time.Duration(d.HistoryS*float64(time.Second))))
 	return g
 }
 
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,8 +26,8 @@
 	checkRetryMax = time.Second
 	// endpointsPause lets changes of endpoints gather, well under the time that a leaving one may still be used.
 	endpointsPause = 300 * time.Millisecond
-	// watchWait is how long a watch waits; the check notices one that hears nothing.
-	watchWait = 25 * time.Second
+	// maxWatchWait is the longest that a watch waits; the check notices one that hears nothing.
+	maxWatchWait = 25 * time.Second
 	// settleTime is how long a watch may take to bring a change that the check has seen, the pause included.
 	settleTime = 700 * time.Millisecond
 )
@@ -43,7 +42,8 @@
 	watches  sync.WaitGroup
 	// forgotten tells that a watch has lost its history, so that the others may have missed changes too.
 	forgotten chan struct{}
-	// behindSince is since when the store's revision is above what the watches brought, zero if it is not.
+	tally     tally
+	// behindSince is since when the store's revision is above what the watches account for, zero if it is not.
 	behindSince time.Time
 }
 
@@ -109,7 +109,7 @@
 	case <-timer.C:
 	case <-d.forgotten:
 		d.stopWatches()
-		d.startWatches(ctx, follower.WithList())
+		d.startWatches(ctx)
 	}
 }
 
@@ -123,16 +123,21 @@
 	}
 	now := d.s.clock()
 	known := d.s.zonesOut.Get()
-	if known.Revision == 0 || !sameNames(known.Items, items) {
+	if n := differences(known.Items, items); known.Revision == 0 || n > 0 {
+		d.tally.changed(n)
 		d.s.zonesOut.Put(view.View[json.RawMessage]{Items: items, Revision: revision, HeardAt: now})
 	}
 	d.compare(now, revision)
 	return nil
 }
 
-// compare starts the watches anew from lists when the store has been ahead of them for too long.
+// compare has all listed anew when the store has been ahead of the watches for too long.
+//
+// The highest revision that a watch brought does not tell: one watch may hang
+// while others go on. Each change raises the store's revision by one, so those
+// that the watches brought must add up.
 func (d *direct) compare(now time.Time, revision int64) {
-	if d.watching == nil || revision <= d.newest() {
+	if !d.tally.isBehind(revision) {
 		d.behindSince = time.Time{}
 		return
 	}
@@ -143,7 +148,7 @@
 	if now.Sub(d.behindSince) < settleTime {
 		return
 	}
-	d.s.logger.Warn("the store is ahead of its watches, listing anew", zap.Int64("store_revision", revision), zap.Int64("revision", d.newest()))
+	d.s.logger.Warn("the store is ahead of its watches, listing anew", zap.Int64("store_revision", revision), zap.Int64("accounted", d.tally.accounted()))
 	d.behindSince = time.Time{}
 	d.forget()
 }
@@ -173,16 +178,19 @@
 	d.s.broadcaster.SetLost(false)
 }
 
-// startWatches watches from what is known on.
-func (d *direct) startWatches(ctx context.Context, more ...follower.Option) {
+// startWatches lists and watches everything.
+func (d *direct) startWatches(ctx context.Context) {
 	s := d.s
 	ctx, d.watching = context.WithCancel(ctx)
-	options := append([]follower.Option{
+	d.tally.reset()
+	options := []follower.Option{
 		follower.WithClock(s.clock),
 		follower.WithLogger(s.logger),
 		follower.WithForgotten(s.store.Forgotten, d.forget),
-		follower.WithWait(watchWait),
-	}, more...)
+		follower.WithWait(s.watchWait),
+		follower.WithTally(d.tally.listed, d.tally.changed),
+		follower.WithList(),
+	}
 	gathering := append(options, follower.WithPause(endpointsPause))
 	ends := []<-chan error{
 		follower.New(feedConfiguration, s.store.Configurations, s.configuration, options...).Run(ctx),
@@ -211,8 +219,20 @@
 	d.watches.Wait()
 }
 
-func sameNames[T any](a, b map[string]T) bool {
-	return maps.EqualFunc(a, b, func(T, T) bool { return true })
+// differences returns how many names are in one of the maps only.
+func differences[T any](a, b map[string]T) int {
+	n := 0
+	for name := range a {
+		if _, both := b[name]; !both {
+			n++
+		}
+	}
+	for name := range b {
+		if _, both := a[name]; !both {
+			n++
+		}
+	}
+	return n
 }
 
 const (
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -10,6 +10,7 @@
 
 	"poplarhook.example/lib/change"
 	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/lib/ranker"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/poplarhook/models/frame"
@@ -65,6 +66,7 @@
 	broadcaster *broadcaster.Broadcaster
 	subscriber  *subscriber.Subscriber
 	heard       func(heard bool)
+	watchWait   time.Duration
 
 	configuration *shelf.Shelf[snapshot.Snapshot]
 	endpoints     *shelf.Shelf[host.Host]
@@ -106,6 +108,11 @@
 	return func(s *Supplier) { s.counter = count }
 }
 
+// WithHistory sets for how long the store keeps changes, of which a watch may wait a half.
+func WithHistory(history time.Duration) Option {
+	return func(s *Supplier) { s.watchWait = min(history/2, maxWatchWait) }
+}
+
 // New returns a Supplier of the host that hands each newer view to the hooks.
 func New(self host.Host, store Store, hooks Hooks, options ...Option) *Supplier {
 	s := &Supplier{
@@ -116,6 +123,7 @@
 		counter:    func(string) {},
 		subscriber: subscriber.New(),
 		heard:      hooks.Heard,
+		watchWait:  maxWatchWait,
 		penalties:  make(map[string]penalty),
 	}
 	for _, option := range options {
@@ -179,6 +187,7 @@
 }
 
 func (s *Supplier) run(ctx context.Context) {
+	s.join(ctx)
 	for ctx.Err() == nil {
 		source := s.choose()
 		if source.ID == s.self.ID {
@@ -189,8 +198,56 @@
 	}
 }
 
+const (
+	// joinTime is how long a starting host waits for another one of its region to serve: hosts that start together
+	// need some time to find each other.
+	joinTime = 700 * time.Millisecond
+	joinStep = 100 * time.Millisecond
+)
+
+// join looks for a host that serves before this one follows the store itself.
+func (s *Supplier) join(ctx context.Context) {
+	until := s.clock().Add(joinTime)
+	for ctx.Err() == nil && s.clock().Before(until) {
+		s.findMembers(ctx)
+		source := s.choose()
+		if source.ID != s.self.ID && s.read(ctx, source, func() {}) {
+			return
+		}
+		s.forgive()
+		if source.ID == s.self.ID && len(s.members.Get().Items) > 1 {
+			return
+		}
+		_ = pauser.Pause(ctx, joinStep)
+	}
+}
+
+// findMembers lists the entry hosts unless others are known already.
+func (s *Supplier) findMembers(ctx context.Context) {
+	if len(s.members.Get().Items) > 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	items, revision, err := s.store.Members.List(ctx)
+	if err != nil {
+		s.logger.Warn("entry hosts are not known yet", zap.Error(err))
+		return
+	}
+	s.members.Put(view.View[host.Host]{Items: items, Revision: revision, HeardAt: s.clock()})
+}
+
+// forgive lets every host be asked again at once.
+func (s *Supplier) forgive() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.penalties)
+}
+
 // read follows the views of another host until that ends, and then keeps away from it for a while.
-func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) {
+//
+// It reports whether that host served at all.
+func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) bool {
 	first := true
 	startedAt := s.clock()
 	err := s.subscriber.Read(ctx, source.PeerAddress, func(f frame.Frame) error {
@@ -207,13 +264,14 @@
 		return nil
 	})
 	if ctx.Err() != nil {
-		return
+		return !first
 	}
 	if !first {
 		s.heard(false)
 	}
 	s.penalise(source.ID, s.clock().Sub(startedAt))
 	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.Error(err))
+	return !first
 }
 
 // take puts the view of a frame on its shelf.
