Send idempotent requests a second time when that would just meet the target

Before: the second try came after a quantile of recent latencies, mostly too late for the target (a lookup with a target of 200 ms took 380 ms with one send). Also looks at other regions happen once a request and the shortest way counts.

--- a/poplarhook/services/delayer/delayer.go
+++ b/poplarhook/services/delayer/delayer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplarhook.example/lib/hedger"
+	"poplarhook.example/poplarhook/models/job"
 )
 
 // Delayer keeps recent latencies by class, safe for concurrent use.
@@ -25,11 +26,11 @@
 	d.hedgerOf(class).Observe(now, latency)
 }
 
-// Delay returns after which time an unanswered request of the class is sent a second time, at most half of what is left.
-func (d *Delayer) Delay(now time.Time, class string, left time.Duration) time.Duration {
+// Delay returns after which time an unanswered request is sent a second time, at most half of what is left of its deadline.
+func (d *Delayer) Delay(now time.Time, j job.Job) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return min(d.hedgerOf(class).Delay(now), left/2)
+	return min(d.hedgerOf(j.Class.Name).Delay(now), j.Until.Sub(now)/2)
 }
 
 func (d *Delayer) hedgerOf(class string) *hedger.Hedger {
--- a/poplarhook/services/dispatcher/dispatcher.go
+++ b/poplarhook/services/dispatcher/dispatcher.go
@@ -40,7 +40,7 @@
 // hedger tells when an unanswered request of a class is worth a second try.
 type hedger interface {
 	Record(now time.Time, class string, latency time.Duration)
-	Delay(now time.Time, class string, left time.Duration) time.Duration
+	Delay(now time.Time, j job.Job) time.Duration
 }
 
 // budget bounds the repeats at a service to a share of its recent work.
--- a/poplarhook/services/dispatcher/dispatcher_test.go
+++ b/poplarhook/services/dispatcher/dispatcher_test.go
@@ -90,7 +90,7 @@
 
 func (fixedHedger) Record(time.Time, string, time.Duration) {}
 
-func (f fixedHedger) Delay(time.Time, string, time.Duration) time.Duration { return f.delay }
+func (f fixedHedger) Delay(time.Time, job.Job) time.Duration { return f.delay }
 
 type freeBudget struct{ allowed bool }
 
--- a/poplarhook/services/dispatcher/repeatable.go
+++ b/poplarhook/services/dispatcher/repeatable.go
@@ -162,7 +162,7 @@
 		return
 	}
 	now := r.d.clock()
-	delay := r.d.hedger.Delay(now, r.job.Class.Name, r.job.Until.Sub(now))
+	delay := r.d.hedger.Delay(now, r.job)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.timer = time.AfterFunc(delay, func() { r.hedge(ctx, first) })
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -24,9 +24,9 @@
 	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/routers/caller"
 	"poplarhook.example/poplarhook/services/allowance"
-	"poplarhook.example/poplarhook/services/delayer"
 	"poplarhook.example/poplarhook/services/dispatcher"
 	"poplarhook.example/poplarhook/services/locator"
+	"poplarhook.example/poplarhook/services/seconder"
 	"poplarhook.example/poplarhook/services/sender"
 	"poplarhook.example/poplarhook/services/supplier"
 	"poplarhook.example/poplarhook/services/surveyor"
@@ -107,7 +107,7 @@
 		dispatcher.WithReader(p.Dialect),
 		dispatcher.WithLogger(logger),
 		dispatcher.WithCounter(g.meter.Count),
-		dispatcher.WithHedges(delayer.New(), g.repeats),
+		dispatcher.WithHedges(seconder.New(), g.repeats),
 		dispatcher.WithRetries(g.repeats),
 		dispatcher.WithOnceRetries(g.repeats))
 	g.callers = caller.New(g.places.Classifier, g.dispatcher,
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -90,8 +90,12 @@
 func (s *Surveyor) survey(ctx context.Context, w wish.Wish) (candidate, bool) {
 	var best candidate
 	found := false
-	for _, tier := range s.tiers(w) {
+	for distance, tier := range s.tiers(w) {
 		candidates := s.rank(w, tier)
+		if distance > 0 {
+			// Each look at another region takes its way, so only the likeliest are worth one.
+			candidates = candidates[:min(looksAtOnce, len(candidates))]
+		}
 		for len(candidates) > 0 && ctx.Err() == nil {
 			n := min(looksAtOnce, len(candidates))
 			for _, c := range s.look(ctx, w, candidates[:n]) {
@@ -267,11 +271,15 @@
 	return c
 }
 
-// measureWay takes in how long a look took. The lock is held.
+// measureWay takes in how long a look took: the shortest of late, as others wait at the endpoint. The lock is held.
 func (s *Surveyor) measureWay(region string, took time.Duration) {
-	const weight = 8
+	const weight = 128
 	way := s.wayTo(region)
-	s.ways[region] = way + (min(took, 4*firstWay)-way)/weight
+	if took < way || way == 0 {
+		s.ways[region] = took
+		return
+	}
+	s.ways[region] = way + (min(took, 2*way)-way)/weight
 }
 
 // estimated returns the candidate with an estimate by its look, and reports whether it may get work.
