--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -101,6 +101,9 @@
 	return func(c *Caller) { c.places = make(chan struct{}, n) }
 }
 
+// unconfiguredWait is when a caller may come back to a host that has just started: some take a configuration in 100 to 250 ms.
+const unconfiguredWait = 200 * time.Millisecond
+
 const (
 	defaultMaxBody     = 1 << 20
 	defaultMaxRequests = 4096
@@ -176,7 +179,7 @@
 	}
 	inForce := c.classifier()
 	if inForce == nil {
-		return j, refusal.NotRun(http.StatusServiceUnavailable, "no configuration is in force yet").WithRetryAfter(time.Second)
+		return j, refusal.NotRun(http.StatusServiceUnavailable, "no configuration is in force yet").WithRetryAfter(unconfiguredWait)
 	}
 	found, team, err := inForce.Classify(r.Method, r.Host, r.URL.EscapedPath())
 	if err != nil {
