--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -19,6 +20,7 @@
 	"poplarhook.example/platform/decoder"
 	"poplarhook.example/platform/dialect"
 	"poplarhook.example/platform/feed"
+	"poplarhook.example/poplarhook/modules/linewriter"
 	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/modules/settings"
 	"poplarhook.example/poplarhook/services/gateway"
@@ -38,34 +40,87 @@
 		}
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		return runGateway(ctx, d, out)
+		return runGateway(ctx, path, d, out)
 	}}
 }
 
 // collectAt is the growth of the heap in percent at which garbage is collected: memory is dearer than processor time.
 const collectAt = 40
 
-func runGateway(ctx context.Context, d deployment.Deployment, out io.Writer) error {
+// runGateway serves until the context ends; log lines are written to the end of the stop.
+func runGateway(ctx context.Context, path string, d deployment.Deployment, out io.Writer) error {
 	debug.SetGCPercent(collectAt)
-	logger := newLineLogger(out).With(zap.String("self", d.HostID))
-	var listeners gateway.Listeners
-	var err error
-	if listeners.Callers, err = listenOn(ctx, "listen", d.Listen); err != nil {
-		return err
-	}
-	if listeners.Ready, err = listenOn(ctx, "ready_listen", d.ReadyListen); err != nil {
-		return err
-	}
-	if listeners.Peers, err = listenOn(ctx, "peer_ports", d.PeerAddress()); err != nil {
-		return err
+	lines := linewriter.New(out, time.Now)
+	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
+	written := lines.Run(writing)
+	logger := newLineLogger(lines).With(zap.String("self", d.HostID))
+	err := serveGateway(ctx, path, d, logger)
+	if err != nil {
+		logger.Error("gateway failed", zap.Error(err))
 	}
-	if listeners.Admin, err = listenOn(ctx, "peer_ports", d.AdminAddress()); err != nil {
+	stopWriting()
+	<-written
+	return err
+}
+
+func serveGateway(ctx context.Context, path string, d deployment.Deployment, logger *zap.Logger) error {
+	listeners, err := listenAll(ctx, d)
+	if err != nil {
 		return err
 	}
 	logger.Info("starting", zap.String("listen", d.Listen), zap.String("region", d.Region), zap.String("availability_zone", d.AvailabilityZone))
 	m := meter.New("poplarhook")
 	g := gateway.New(ctx, d, listeners, newPlatform(d, logger, m.Count), m, logger, time.Now)
-	return errors.Wrap(<-g.Run(ctx), "gateway")
+	reloaded := reload(ctx, path, g, logger)
+	err = errors.Wrap(<-g.Run(ctx), "gateway")
+	<-reloaded
+	return err
+}
+
+func listenAll(ctx context.Context, d deployment.Deployment) (gateway.Listeners, error) {
+	var l gateway.Listeners
+	places := []struct {
+		setting, address string
+		listener         *net.Listener
+	}{
+		{"listen", d.Listen, &l.Callers},
+		{"ready_listen", d.ReadyListen, &l.Ready},
+		{"peer_ports", d.PeerAddress(), &l.Peers},
+		{"peer_ports", d.AdminAddress(), &l.Admin},
+	}
+	for _, p := range places {
+		var err error
+		if *p.listener, err = listenOn(ctx, p.setting, p.address); err != nil {
+			return gateway.Listeners{}, err
+		}
+	}
+	return l, nil
+}
+
+// reload reads the settings again at each SIGHUP until the context ends; settings that are not allowed change nothing.
+func reload(ctx context.Context, path string, g *gateway.Gateway, logger *zap.Logger) <-chan error {
+	done := make(chan error, 1)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-signals:
+			}
+			d, err := deployment.Read(path)
+			if err != nil {
+				logger.Error("settings are not allowed, the old ones hold", zap.Error(err))
+				continue
+			}
+			g.SetDeployment(d)
+			logger.Info("settings read again")
+		}
+	}()
+	return done
 }
 
 // newPlatform returns the platform of the deployment.
@@ -89,8 +144,8 @@
 }
 
 // newLineLogger returns a logger of JSON lines.
-func newLineLogger(out io.Writer) *zap.Logger {
+func newLineLogger(out zapcore.WriteSyncer) *zap.Logger {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeDuration = zapcore.MillisDurationEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(out), zap.InfoLevel))
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), out, zap.InfoLevel))
 }
--- /dev/null
+++ b/poplarhook/modules/linewriter/doc.go
@@ -0,0 +1,2 @@
+// Package linewriter writes log lines without ever holding up those who log.
+package linewriter
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -34,7 +34,7 @@
 
 // Gateway is one entry host on a platform that gives endpoints and configuration.
 type Gateway struct {
-	deployment deployment.Deployment
+	deployment atomic.Pointer[deployment.Deployment]
 	listeners  Listeners
 	platform   Platform
 	logger     *zap.Logger
@@ -78,14 +78,14 @@
 // New returns a Gateway by settings that have passed their check; its parts end with the context.
 func New(ctx context.Context, d deployment.Deployment, l Listeners, p Platform, m *meter.Meter, logger *zap.Logger, clock func() time.Time) *Gateway {
 	g := &Gateway{
-		deployment: d,
-		listeners:  l,
-		platform:   p,
-		logger:     logger,
-		clock:      clock,
-		meter:      m,
-		places:     locator.New(d.Region),
+		listeners: l,
+		platform:  p,
+		logger:    logger,
+		clock:     clock,
+		meter:     m,
+		places:    locator.New(d.Region),
 	}
+	g.deployment.Store(&d)
 	alone := ranker.New(d.HostID)
 	g.region.Store(&alone)
 	g.sender = sender.New(
@@ -154,30 +154,37 @@
 	maxBody = 64 << 20
 )
 
+// SetDeployment takes new bounds; names and addresses stay those of the start.
+func (g *Gateway) SetDeployment(d deployment.Deployment) {
+	next := *g.deployment.Load()
+	next.Bounds = d.Bounds
+	g.deployment.Store(&next)
+}
+
 // coldSharers returns how many hosts share the rate of a cold endpoint and whether this one is among them.
 //
 // Each of them may send one request at once, which the slack covers; together
 // they send at the declared rate.
 func (g *Gateway) coldSharers(endpoint host.Host) (int, bool) {
-	sharers := g.region.Load().Best(endpoint.ID, int(max(g.deployment.Bounds.ColdSlack, 1)))
-	return len(sharers), slices.Contains(sharers, g.deployment.HostID)
+	sharers := g.region.Load().Best(endpoint.ID, int(max(g.deployment.Load().Bounds.ColdSlack, 1)))
+	return len(sharers), slices.Contains(sharers, g.deployment.Load().HostID)
 }
 
 // setMembers takes in which entry hosts there are.
 func (g *Gateway) setMembers(v view.View[host.Host]) {
-	ids := []string{g.deployment.HostID}
+	ids := []string{g.deployment.Load().HostID}
 	hosts := len(v.Items)
-	if _, listed := v.Items[g.deployment.HostID]; !listed {
+	if _, listed := v.Items[g.deployment.Load().HostID]; !listed {
 		hosts++
 	}
 	for id, m := range v.Items {
-		if m.Region == g.deployment.Region {
+		if m.Region == g.deployment.Load().Region {
 			ids = append(ids, id)
 		}
 	}
 	region := ranker.New(ids...)
 	g.region.Store(&region)
-	g.repeats.SetMinimum(int(g.deployment.Bounds.RetrySlack * retrySlackUsed / float64(hosts)))
+	g.repeats.SetMinimum(int(g.deployment.Load().Bounds.RetrySlack * retrySlackUsed / float64(hosts)))
 	g.logger.Info("entry hosts known", zap.Int("hosts", hosts), zap.Int("in_region", len(ids)), zap.Int64("store_revision", v.Revision))
 }
 
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -34,7 +34,7 @@
 		server.New(http.HandlerFunc(g.serveReady)).Run(background, g.listeners.Ready),
 		server.New(g.newAdmin()).Run(background, g.listeners.Admin),
 	}
-	limit := max(g.deployment.Bounds.Stop()-drainNotice-stopReserve, stopReserve)
+	limit := max(g.deployment.Load().Bounds.Stop()-drainNotice-stopReserve, stopReserve)
 	callers, stopCallers := context.WithCancel(background)
 	answered := server.New(g.closing(g.callers),
 		server.WithIdleTimeout(idleTimeout),
