Look for two lengths in heads only

Before: a proper body that held both header lines was refused, with all that followed on its connection. TestBodiesThatHoldHeaderLinesAreProper fails without the change.

--- a/poplarhook/modules/screener/screener.go
+++ b/poplarhook/modules/screener/screener.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"strconv"
 	"sync/atomic"
 )
 
@@ -11,8 +12,7 @@
 //
 // net/http drops the length of such a request and serves it, so that a handler
 // cannot see what a balancer before it may have read otherwise (RFC 9112,
-// section 6.1). Lines are looked at wherever they stand between two empty
-// lines, so a body that holds both header lines in one paragraph is noticed too.
+// section 6.1). Only heads are looked at: a body may hold any lines.
 type Screener struct {
 	net.Listener
 }
@@ -49,49 +49,139 @@
 	transferEncoding = []byte("transfer-encoding:")
 )
 
-// longestName is the length of the longer name with its colon.
-const longestName = len("transfer-encoding:")
+// keptLine is how much of a line is kept: a name with its colon and the largest length.
+const keptLine = 64
 
-// conn looks at the start of each line that is read.
+// part is the part of a message that the next byte belongs to.
+type part int
+
+const (
+	inHead part = iota
+	inBody
+	inChunkSize
+	inChunk
+	inTrailer
+)
+
+// conn looks at the start of each line of a head and passes over bodies.
 type conn struct {
 	net.Conn
 	ambiguous atomic.Bool
 
 	// The reader of the connection alone uses these.
+	part part
+	// left is how many bytes of a body or chunk follow.
+	left        int64
 	start       []byte
 	hasLength   bool
 	hasEncoding bool
+	length      int64
 }
 
 // Read reads from the connection and screens what was read.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	for _, b := range p[:n] {
-		c.screen(b)
-	}
+	c.screen(p[:n])
 	return n, err
 }
 
-func (c *conn) screen(b byte) {
-	switch {
-	case b == '\n':
-		c.endLine()
-	case b != '\r' && len(c.start) < longestName:
-		c.start = append(c.start, b)
+func (c *conn) screen(p []byte) {
+	for len(p) > 0 {
+		if c.part == inBody || c.part == inChunk {
+			p = p[c.pass(int64(len(p))):]
+			continue
+		}
+		b := p[0]
+		p = p[1:]
+		switch {
+		case b == '\n':
+			c.endLine()
+		case b != '\r' && len(c.start) < keptLine:
+			c.start = append(c.start, b)
+		}
+	}
+}
+
+// pass passes over at most n bytes of a body or chunk and returns how many those were.
+func (c *conn) pass(n int64) int64 {
+	n = min(n, c.left)
+	c.left -= n
+	if c.left > 0 {
+		return n
+	}
+	if c.part == inChunk {
+		c.part = inChunkSize
+	} else {
+		c.part = inHead
 	}
+	return n
 }
 
-// endLine takes in the start of a whole line; an empty line ends a head.
 func (c *conn) endLine() {
-	line := bytes.ToLower(c.start)
+	line := bytes.ToLower(bytes.TrimSpace(c.start))
 	c.start = c.start[:0]
-	if len(line) == 0 {
-		c.hasLength, c.hasEncoding = false, false
+	switch c.part {
+	case inHead:
+		c.endHeadLine(line)
+	case inChunkSize:
+		c.endChunkSize(line)
+	default:
+		if len(line) == 0 {
+			c.part = inHead
+		}
+	}
+}
+
+// endHeadLine takes in the start of a line of the head; an empty line ends the head.
+func (c *conn) endHeadLine(line []byte) {
+	switch {
+	case len(line) == 0:
+		c.endHead()
 		return
+	case bytes.HasPrefix(line, contentLength):
+		c.hasLength = true
+		c.length = number(line[len(contentLength):], decimal)
+	case bytes.HasPrefix(line, transferEncoding):
+		c.hasEncoding = true
 	}
-	c.hasLength = c.hasLength || bytes.HasPrefix(line, contentLength)
-	c.hasEncoding = c.hasEncoding || bytes.HasPrefix(line, transferEncoding)
 	if c.hasLength && c.hasEncoding {
 		c.ambiguous.Store(true)
 	}
 }
+
+func (c *conn) endHead() {
+	switch {
+	case c.hasEncoding:
+		c.part = inChunkSize
+	case c.length > 0:
+		c.part, c.left = inBody, c.length
+	}
+	c.hasLength, c.hasEncoding, c.length = false, false, 0
+}
+
+// crlf is how many bytes end a chunk.
+const crlf = 2
+
+func (c *conn) endChunkSize(line []byte) {
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	n := number(size, hexadecimal)
+	if n == 0 {
+		c.part = inTrailer
+		return
+	}
+	c.part, c.left = inChunk, n+crlf
+}
+
+const (
+	decimal     = 10
+	hexadecimal = 16
+)
+
+// number returns the length in the text, zero for one that net/http refuses anyway.
+func number(text []byte, base int) int64 {
+	n, err := strconv.ParseInt(string(bytes.TrimSpace(text)), base, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
