--- /dev/null
+++ b/poplarhook/models/lapsekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package lapsekeeper keeps endpoints in use whose entries lapsed only because the store was away.
+package lapsekeeper
--- /dev/null
+++ b/poplarhook/models/lapsekeeper/lapsekeeper_test.go
@@ -0,0 +1,55 @@
+package lapsekeeper_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/poplarhook/models/lapsekeeper"
+)
+
+func listOf(hosts ...host.Host) map[string]host.Host {
+	listed := make(map[string]host.Host)
+	for _, h := range hosts {
+		listed[h.ID] = h
+	}
+	return listed
+}
+
+func ids(hosts map[string]host.Host) []string {
+	return slices.Sorted(maps.Keys(hosts))
+}
+
+func at(id, state string) host.Host {
+	return host.Host{ID: id, Address: "10.0.0." + id + ":80", State: state}
+}
+
+func TestEntriesThatLapsedWithTheStoreMayComeBack(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(0, 0)
+	before := listOf(at("1", host.StateLive), at("2", host.StateLive), at("3", host.StateLeaving))
+	k := lapsekeeper.New(2 * time.Second)
+
+	c.Assert(ids(k.Use(start, before, listOf(at("1", host.StateLive)))), qt.DeepEquals, []string{"1"}, qt.Commentf("the store was not away"))
+
+	k.Regained(start)
+	c.Assert(ids(k.Use(start, before, listOf(at("1", host.StateLive)))), qt.DeepEquals, []string{"1", "2"}, qt.Commentf("3 was leaving"))
+	now := start.Add(time.Second)
+	listed := listOf(at("1", host.StateLive))
+	c.Assert(ids(k.Use(now, listed, listed)), qt.DeepEquals, []string{"1", "2"}, qt.Commentf("a later view"))
+	c.Assert(ids(k.Use(start.Add(2*time.Second), listed, listed)), qt.DeepEquals, []string{"1"}, qt.Commentf("the grace is over"))
+}
+
+func TestAnAddressThatAnotherEndpointHasTakenIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	start := time.Unix(0, 0)
+	k := lapsekeeper.New(2 * time.Second)
+	k.Regained(start)
+	successor := at("1", host.StateLive)
+	successor.ID = "9"
+	c.Assert(ids(k.Use(start, listOf(at("1", host.StateLive)), listOf(successor))), qt.DeepEquals, []string{"9"})
+}
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"poplarhook.example/lib/ranker"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/poplarhook/models/divider"
+	"poplarhook.example/poplarhook/models/lapsekeeper"
 	"poplarhook.example/poplarhook/models/view"
 	"poplarhook.example/poplarhook/modules/exchanger"
 	"poplarhook.example/poplarhook/modules/meter"
@@ -57,6 +58,9 @@
 	mu sync.Mutex
 	// endpoints, configuration and zonesOut are what was last heard.
 	endpoints     view.View[host.Host]
+	lapses        *lapsekeeper.Keeper
+	lostAt        time.Time
+	used          map[string]host.Host
 	configuration snapshot.Snapshot
 	zonesOut      []string
 }
@@ -86,6 +90,7 @@
 		places:    locator.New(d.Region),
 	}
 	g.deployment.Store(&d)
+	g.lapses = lapsekeeper.New(lapseGrace)
 	alone := ranker.New(d.HostID)
 	g.region.Store(&alone)
 	g.sender = sender.New(
@@ -131,7 +136,7 @@
 		Endpoints:     g.setEndpoints,
 		ZonesOut:      g.setZonesOut,
 		Members:       g.setMembers,
-		Heard:         func(heard bool) { g.heard.Store(heard) },
+		Heard:         g.setHeard,
 	}, supplier.WithClock(clock), supplier.WithLogger(logger), supplier.WithCounter(g.meter.Count),
 		supplier.WithHistory(time.Duration(d.HistoryS*float64(time.Second))))
 	return g
@@ -207,6 +212,7 @@
 func (g *Gateway) setEndpoints(v view.View[host.Host]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.used = g.lapses.Use(g.clock(), g.used, v.Items)
 	g.endpoints = v
 	g.apply()
 	for _, c := range v.Changed {
@@ -230,12 +236,48 @@
 	g.logger.Info("zones out", zap.Strings("zones", g.zonesOut), zap.Int64("store_revision", v.Revision))
 }
 
+// setHeard takes in whether the views are kept up to date.
+func (g *Gateway) setHeard(heard bool) {
+	if g.heard.Swap(heard) == heard {
+		return
+	}
+	now := g.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !heard {
+		g.lostAt = now
+		return
+	}
+	if g.lostAt.IsZero() || now.Sub(g.lostAt) < lapseAfter {
+		return
+	}
+	g.lapses.Regained(now)
+	time.AfterFunc(lapseGrace, g.endLapses)
+	g.logger.Info("lapsed endpoints may come back", zap.Duration("lost_for", now.Sub(g.lostAt)), zap.Duration("grace", lapseGrace))
+}
+
+// endLapses takes endpoints out of use that have not come back.
+func (g *Gateway) endLapses() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.used = g.lapses.Use(g.clock(), g.used, g.endpoints.Items)
+	g.apply()
+}
+
+const (
+	// lapseAfter is how long the store must have been away for entries to lapse because of it: one heartbeat of an
+	// endpoint takes longer.
+	lapseAfter = 500 * time.Millisecond
+	// lapseGrace is within what time of the store's return entries come back, by the platform's page, less a reserve.
+	lapseGrace = 1900 * time.Millisecond
+)
+
 // apply joins what was heard; the lock is held.
 func (g *Gateway) apply() {
 	if g.configuration.Revision > 0 {
 		g.places.SetSnapshot(g.configuration.WithZonesOut(g.zonesOut...))
 	}
-	d := directoryOf(g.endpoints, g.configuration)
+	d := directoryOf(g.endpoints.Revision, g.used, g.configuration)
 	g.places.SetDirectory(d)
 	g.sender.Retain(d.Endpoints())
 	g.surveyor.Retain(d.Endpoints())
--- a/poplarhook/services/gateway/platform.go
+++ b/poplarhook/services/gateway/platform.go
@@ -14,7 +14,6 @@
 	"poplarhook.example/poplarhook/models/directory"
 	"poplarhook.example/poplarhook/models/job"
 	"poplarhook.example/poplarhook/models/report"
-	"poplarhook.example/poplarhook/models/view"
 )
 
 // Dialect reads and writes the platform's headers.
@@ -29,9 +28,9 @@
 }
 
 // directoryOf arranges the listed endpoints with what the configuration says of their services.
-func directoryOf(v view.View[host.Host], s snapshot.Snapshot) *directory.Directory {
-	hosts := make([]host.Host, 0, len(v.Items))
-	for _, h := range v.Items {
+func directoryOf(revision int64, used map[string]host.Host, s snapshot.Snapshot) *directory.Directory {
+	hosts := make([]host.Host, 0, len(used))
+	for _, h := range used {
 		if declared, known := s.Service(h.Service); known {
 			h.HealthPath = declared.HealthPath
 			h.Connections = declared.Connections
@@ -39,7 +38,7 @@
 		}
 		hosts = append(hosts, h)
 	}
-	return directory.New(v.Revision, hosts)
+	return directory.New(revision, hosts)
 }
 
 // asker looks at endpoints by their health checks.
--- /dev/null
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -0,0 +1,273 @@
+package supplier_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+
+	"poplarhook.example/lib/awaiter"
+	"poplarhook.example/lib/class"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/platform/client"
+	"poplarhook.example/platform/decoder"
+	"poplarhook.example/platform/feed"
+	"poplarhook.example/platform/imitator"
+	"poplarhook.example/poplarhook/models/view"
+	"poplarhook.example/poplarhook/services/subscriber"
+	"poplarhook.example/poplarhook/services/supplier"
+)
+
+// bound is within what time a change must be known everywhere, by the shortest bound of the known deployments.
+const bound = 2 * time.Second
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("net/http.(*persistConn).writeLoop"), goleak.IgnoreTopFunction("internal/poll.runtime_pollWait"))
+}
+
+// entryHost is one supplier with its server.
+type entryHost struct {
+	id     string
+	stop   func()
+	server *httptest.Server
+
+	mu       sync.Mutex
+	refused  bool
+	versions []int64
+	zonesOut int
+	items    map[string]host.Host
+	heard    bool
+}
+
+func (e *entryHost) version() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.versions) == 0 {
+		return 0
+	}
+	return e.versions[len(e.versions)-1]
+}
+
+// refuse lets the store turn the host away, open watches included, or serve it again.
+func (e *entryHost) refuse(refused bool) {
+	e.mu.Lock()
+	e.refused = refused
+	e.mu.Unlock()
+}
+
+func (e *entryHost) isRefused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.refused
+}
+
+func (e *entryHost) isHeard() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.heard
+}
+
+// world is a store and entry hosts in one region.
+type world struct {
+	t       *testing.T
+	store   *imitator.Store
+	hosts   []*entryHost
+}
+
+func newWorld(t *testing.T, hosts int) *world {
+	t.Helper()
+	w := &world{t: t, store: imitator.NewStore()}
+	t.Cleanup(func() {
+		for _, e := range w.hosts {
+			e.stop()
+		}
+	})
+	w.configure(1)
+	for i := range hosts {
+		w.start(fmt.Sprintf("host-%d", i))
+	}
+	return w
+}
+
+func (w *world) configure(version int64) {
+	w.store.PutConfiguration(version, []class.Class{{Name: "a", Hosts: []string{"a.example"}, PathPrefix: "/a/", Service: "s", LatencyTargetMS: 100, DeadlineMS: 1000}}, nil)
+}
+
+// start starts an entry host with a way of its own to the store.
+func (w *world) start(id string) *entryHost {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(w.t, err, qt.IsNil)
+	e := &entryHost{id: id}
+	way := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if e.isRefused() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.store.ServeHTTP(rw, r)
+	}))
+	calls := client.New(way.Listener.Addr().String())
+	decode := decoder.New(func(string) (string, bool) { return "region", true })
+	skipped := func(string, error) {}
+	s := supplier.New(host.Host{ID: id, Region: "region", PeerAddress: listener.Addr().String()}, supplier.Store{
+		Configurations: feed.Configurations(calls, decode, skipped),
+		Endpoints:      feed.Endpoints(calls, decode, time.Now, skipped),
+		ZonesOut:       feed.ZonesOut(calls),
+		Members:        feed.Members(calls, skipped),
+		Register:       feed.Register(calls),
+		Forgotten:      feed.ErrForgotten,
+	}, e.hooks())
+	router := http.NewServeMux()
+	router.Handle(subscriber.Path, s.Broadcaster())
+	e.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: router}}
+	e.server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := s.Run(ctx)
+	e.stop = sync.OnceFunc(func() {
+		cancel()
+		e.server.CloseClientConnections()
+		e.server.Close()
+		<-done
+		way.CloseClientConnections()
+		way.Close()
+	})
+	w.hosts = append(w.hosts, e)
+	return e
+}
+
+func (e *entryHost) hooks() supplier.Hooks {
+	return supplier.Hooks{
+		Configuration: func(v view.View[snapshot.Snapshot]) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			for _, one := range v.Items {
+				e.versions = append(e.versions, one.Revision)
+			}
+		},
+		Endpoints: func(v view.View[host.Host]) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.items = v.Items
+		},
+		ZonesOut: func(v view.View[json.RawMessage]) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.zonesOut = len(v.Items)
+		},
+		Members: func(view.View[host.Host]) {},
+		Heard: func(heard bool) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.heard = heard
+		},
+	}
+}
+
+// all waits until every host that runs meets the condition.
+func (w *world) all(within time.Duration, what string, met func(e *entryHost) bool) {
+	w.t.Helper()
+	awaiter.New(5*time.Millisecond).Await(w.t, within, what, func() bool {
+		for _, e := range w.hosts {
+			if !met(e) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func hasVersion(version int64) func(e *entryHost) bool {
+	return func(e *entryHost) bool { return e.version() == version }
+}
+
+// drop stops the host and leaves it out.
+func (w *world) drop(e *entryHost) {
+	e.stop()
+	for i, one := range w.hosts {
+		if one == e {
+			w.hosts = append(w.hosts[:i:i], w.hosts[i+1:]...)
+			return
+		}
+	}
+}
+
+func TestChangesReachEveryHostAndCallsDoNotGrowWithHosts(t *testing.T) {
+	w := newWorld(t, 8)
+	w.all(10*time.Second, "the first configuration", hasVersion(1))
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	time.Sleep(2500 * time.Millisecond)
+	before := w.store.Calls("watch") + w.store.Calls("list")
+	for version := int64(2); version <= 6; version++ {
+		w.configure(version)
+		w.all(bound, "a changed configuration", hasVersion(version))
+	}
+	calls := w.store.Calls("watch") + w.store.Calls("list") - before
+	qt.Assert(t, calls <= 12, qt.IsTrue, qt.Commentf("%d calls for 5 changes at 8 hosts", calls))
+	for _, e := range w.hosts {
+		qt.Assert(t, e.versions[len(e.versions)-1], qt.Equals, int64(6))
+	}
+}
+
+func TestAChangeIsKnownInTimeWhenAnyHostDies(t *testing.T) {
+	w := newWorld(t, 4)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	time.Sleep(1500 * time.Millisecond)
+	version := int64(1)
+	for len(w.hosts) > 1 {
+		w.drop(w.hosts[0])
+		version++
+		w.configure(version)
+		w.all(bound, "a configuration after a host has died", hasVersion(version))
+	}
+}
+
+func TestAChangeIsKnownInTimeThoughWatchesHearNothing(t *testing.T) {
+	w := newWorld(t, 3)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.store.SetMute(true)
+	w.configure(2)
+	w.store.TakeZoneOut("zone-1")
+	w.all(bound, "a zone out while watches hear nothing", func(e *entryHost) bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.zonesOut == 1
+	})
+	w.store.Forget()
+	w.all(bound+time.Second, "a configuration that no watch told", hasVersion(2))
+}
+
+func TestTheStoreIsHeardAgainAfterAnOutage(t *testing.T) {
+	w := newWorld(t, 3)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.store.SetDown(true)
+	w.all(5*time.Second, "the loss of the store is noticed", func(e *entryHost) bool { return !e.isHeard() })
+	w.configure(2)
+	w.store.SetDown(false)
+	w.all(bound, "a configuration from during the outage", hasVersion(2))
+}
+
+func TestHostsThatTheStoreTurnsAwayLearnFromOthers(t *testing.T) {
+	w := newWorld(t, 3)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	time.Sleep(1500 * time.Millisecond)
+	version := int64(1)
+	for _, refused := range w.hosts {
+		refused.refuse(true)
+		version++
+		w.configure(version)
+		w.all(bound, "a configuration while the store turns "+refused.id+" away", hasVersion(version))
+		refused.refuse(false)
+		version++
+		w.configure(version)
+		w.all(bound, "a configuration after that", hasVersion(version))
+	}
+}
