Estimate unseen work by the whole target, and test choice, admission, cold shares, settings and headers

TestFullEndpointsAreRefusedBeforeTheDeadline showed the fault: work of a class that was never seen was estimated by what was left of the target, and became negative after it.

--- /dev/null
+++ b/poplarhook/models/coldgate/coldgate_test.go
@@ -0,0 +1,42 @@
+package coldgate_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"poplarhook.example/poplarhook/models/coldgate"
+)
+
+// TestAllHostsTogetherKeepTheBound lets as many hosts as the slack allows send to one cold endpoint as fast as they may.
+func TestAllHostsTogetherKeepTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slack := rapid.IntRange(1, 12).Draw(t, "slack")
+		rate := rapid.Float64Range(1, 40).Draw(t, "rate")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		gates := make([]*coldgate.Gate, slack)
+		for i := range gates {
+			gates[i] = coldgate.New()
+		}
+		start := time.Unix(0, 0)
+		var sent []time.Time
+		for step := range 4000 {
+			now := start.Add(time.Duration(step) * time.Millisecond)
+			g := gates[random.IntN(slack)]
+			if g.May(now, "endpoint") {
+				g.Pass(now, "endpoint", rate, slack)
+				sent = append(sent, now)
+			}
+		}
+		for first, last := 0, 0; last < len(sent); last++ {
+			for sent[last].Sub(sent[first]) >= time.Second {
+				first++
+			}
+			if n := last - first + 1; float64(n) > rate+float64(slack) {
+				t.Fatalf("%d requests in a second at a rate of %.1f with a slack of %d", n, rate, slack)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/poplarhook/models/estimator/estimator_test.go
@@ -0,0 +1,46 @@
+package estimator_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/poplarhook/models/estimator"
+)
+
+const work = 60 * time.Millisecond
+
+func TestEndpointsAreOrderedAsTheyAnswer(t *testing.T) {
+	// Each endpoint should answer sooner than the next one.
+	ordered := []struct {
+		name  string
+		state estimator.State
+	}{
+		{"idle", estimator.State{Slots: 4, Slowness: 1}},
+		{"idle, some milliseconds away", estimator.State{Slots: 4, Slowness: 1, Way: 5 * time.Millisecond}},
+		{"nearly full", estimator.State{Slots: 4, Slowness: 1, Running: 3}},
+		{"cold", estimator.State{Slots: 4, Slowness: 1, Cold: true}},
+		{"a queue of four", estimator.State{Slots: 4, Slowness: 1, Running: 4, Waiting: 4}},
+		{"ill", estimator.State{Slots: 4, Slowness: 1, Ill: true}},
+		{"slow", estimator.State{Slots: 4, Slowness: 5}},
+		{"failing most", estimator.State{Slots: 4, Slowness: 1, Failing: 0.8}},
+	}
+	for i := 1; i < len(ordered); i++ {
+		before, after := estimator.Estimate(work, ordered[i-1].state), estimator.Estimate(work, ordered[i].state)
+		qt.Check(t, before < after, qt.IsTrue, qt.Commentf("%s: %s, %s: %s", ordered[i-1].name, before, ordered[i].name, after))
+	}
+}
+
+func TestWorkIsLearnedAsIfAtTheUsualSpeed(t *testing.T) {
+	c := qt.New(t)
+	e := estimator.New()
+	c.Assert(e.Work("a", 300*time.Millisecond), qt.Equals, 100*time.Millisecond)
+	e.Record("a", 300*time.Millisecond, 5)
+	for range 200 {
+		e.Record("a", 60*time.Millisecond, 1)
+	}
+	e.Record("a", time.Hour, 0)
+	got := e.Work("a", 0)
+	c.Assert(got > 59*time.Millisecond && got < 61*time.Millisecond, qt.IsTrue, qt.Commentf("%s", got))
+}
--- a/poplarhook/models/wish/wish.go
+++ b/poplarhook/models/wish/wish.go
@@ -22,6 +22,8 @@
 	OnceOnly bool
 	// Excluded is the id of an endpoint that must not be bound, empty for none.
 	Excluded string
+	// Arrived is when the request came, zero where nobody asks.
+	Arrived time.Time
 	// Target is when the answer should be with the caller, zero for no target.
 	Target time.Time
 	// Class is the name of the request's class.
--- a/poplarhook/services/dispatcher/dispatcher.go
+++ b/poplarhook/services/dispatcher/dispatcher.go
@@ -180,6 +180,7 @@
 		Until:    j.Until,
 		Urgency:  urgencyOf(j.Class),
 		OnceOnly: j.Class.IsOnceOnly(),
+		Arrived:  j.Arrived,
 		Target:   j.Arrived.Add(j.Class.LatencyTarget()),
 		Class:    j.Class.Name,
 		Request:  j.ID,
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -206,7 +206,7 @@
 
 // workOf returns how long the request's work usually takes. The lock is held.
 func (s *Surveyor) workOf(w wish.Wish) time.Duration {
-	return s.estimator.Work(w.Class, w.Target.Sub(s.clock()))
+	return s.estimator.Work(w.Class, w.Target.Sub(w.Arrived))
 }
 
 // wayTo returns the time to the region and back. The lock is held.
--- /dev/null
+++ b/poplarhook/services/surveyor/surveyor_test.go
@@ -0,0 +1,173 @@
+package surveyor_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/poplarhook/models/binding"
+	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/refusal"
+	"poplarhook.example/poplarhook/models/report"
+	"poplarhook.example/poplarhook/models/wish"
+	"poplarhook.example/poplarhook/services/surveyor"
+)
+
+// world gives endpoints and what they say of themselves.
+type world struct {
+	mu    sync.Mutex
+	hosts map[group.Group][]host.Host
+	says  map[string]report.Report
+	looks map[string]int
+}
+
+func newWorld() *world {
+	return &world{hosts: make(map[group.Group][]host.Host), says: make(map[string]report.Report), looks: make(map[string]int)}
+}
+
+var (
+	own   = group.Group{Service: "s", Region: "own"}
+	other = group.Group{Service: "s", Region: "other"}
+)
+
+// add lists an endpoint that says the given of itself.
+func (w *world) add(g group.Group, id string, r report.Report) *world {
+	w.hosts[g] = append(w.hosts[g], host.Host{ID: id, Incarnation: id + "/1", Region: g.Region, Slots: 2, ColdPerSecond: 5, Address: id})
+	r.Loaded = r.Err == nil
+	w.says[id] = r
+	return w
+}
+
+func (w *world) OpenEndpoints(_ time.Time, g group.Group) []host.Host {
+	return w.hosts[g]
+}
+
+func (w *world) Ask(ctx context.Context, endpoint host.Host) report.Report {
+	w.mu.Lock()
+	w.looks[endpoint.ID]++
+	r := w.says[endpoint.ID]
+	w.mu.Unlock()
+	if errors.Is(r.Err, errSilent) {
+		<-ctx.Done()
+	}
+	return r
+}
+
+var (
+	errSilent = errors.New("silent")
+	errClosed = errors.New("closed")
+)
+
+func idle(slowness float64) report.Report {
+	return report.Report{Slots: 2, Slowness: slowness, Status: 200}
+}
+
+func busy(running, waiting int) report.Report {
+	return report.Report{InFlight: running, Waiting: waiting, Slots: 2, Slowness: 1, Status: 200}
+}
+
+func newSurveyor(t *testing.T, w *world, options ...surveyor.Option) *surveyor.Surveyor {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return surveyor.New(ctx, "own", w, w, options...)
+}
+
+// want is a request with a target of 300 ms.
+func want() wish.Wish {
+	now := time.Now()
+	return wish.Wish{Groups: []group.Group{own, other}, Class: "a", Arrived: now, Target: now.Add(300 * time.Millisecond), Until: now.Add(time.Second)}
+}
+
+func bind(t *testing.T, s *surveyor.Surveyor) binding.Binding {
+	t.Helper()
+	b, err := s.Bind(context.Background(), want())
+	qt.Assert(t, err, qt.IsNil)
+	return b
+}
+
+func TestTheSoonestAnswerIsChosen(t *testing.T) {
+	for name, test := range map[string]struct {
+		world *world
+		want  string
+	}{
+		"the fast one":                         {newWorld().add(own, "slow", idle(5)).add(own, "fast", idle(1)), "fast"},
+		"the idle one":                         {newWorld().add(own, "busy", busy(2, 1)).add(own, "idle", idle(1)), "idle"},
+		"one of the own region":                {newWorld().add(own, "near", busy(1, 0)).add(other, "far", idle(1)), "near"},
+		"another region when the own is late":  {newWorld().add(own, "near", idle(8)).add(other, "far", idle(1)), "far"},
+		"another region when the own is empty": {newWorld().add(other, "far", idle(1)), "far"},
+		"one that answers":                     {newWorld().add(own, "gone", report.Report{Err: errClosed}).add(own, "there", busy(1, 0)), "there"},
+		"one that answers in time":             {newWorld().add(own, "mute", report.Report{Err: errSilent}).add(own, "there", busy(1, 0)), "there"},
+		"one that calls itself well":           {newWorld().add(own, "ill", report.Report{Slots: 2, Slowness: 1, Status: 503}).add(own, "well", busy(1, 0)), "well"},
+		"one with its own id": {newWorld().add(own, "was", report.Report{Slots: 2, Slowness: 1, Status: 200, Incarnation: "another"}).
+			add(own, "is", busy(1, 0)), "is"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, bind(t, newSurveyor(t, test.world)).Endpoint.ID, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestARequestIsSentWhenNoLookIsAnswered(t *testing.T) {
+	w := newWorld().add(own, "mute", report.Report{Err: errSilent})
+	qt.Assert(t, bind(t, newSurveyor(t, w)).Endpoint.ID, qt.Equals, "mute")
+}
+
+func TestNoOpenEndpointIsRefusedAtOnceAsNotRun(t *testing.T) {
+	startedAt := time.Now()
+	_, err := newSurveyor(t, newWorld()).Bind(context.Background(), want())
+	qt.Assert(t, errors.Is(err, refusal.ErrNotRun), qt.IsTrue)
+	qt.Assert(t, time.Since(startedAt) < 100*time.Millisecond, qt.IsTrue)
+}
+
+func TestFullEndpointsAreRefusedBeforeTheDeadline(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld().add(own, "full", busy(2, 8))
+	startedAt := time.Now()
+	_, err := newSurveyor(t, w).Bind(context.Background(), want())
+	c.Assert(errors.Is(err, refusal.ErrNotRun), qt.IsTrue)
+	c.Assert(time.Since(startedAt) < 500*time.Millisecond, qt.IsTrue)
+	var r *refusal.Refusal
+	c.Assert(errors.As(err, &r), qt.IsTrue)
+	c.Assert(r.RetryAfter > 0, qt.IsTrue)
+}
+
+func TestAColdEndpointGetsThisHostsShareOnly(t *testing.T) {
+	c := qt.New(t)
+	cold := report.Report{Slots: 2, Slowness: 1, Status: 200, ColdFor: time.Minute}
+	w := newWorld().add(own, "cold", cold)
+	s := newSurveyor(t, w, surveyor.WithSharers(func(host.Host) (int, bool) { return 5, true }))
+	c.Assert(bind(t, s).Endpoint.ID, qt.Equals, "cold")
+	_, err := s.Bind(context.Background(), want())
+	c.Assert(errors.Is(err, refusal.ErrNotRun), qt.IsTrue, qt.Commentf("five hosts share five requests a second"))
+
+	outsider := newSurveyor(t, newWorld().add(own, "cold", cold), surveyor.WithSharers(func(host.Host) (int, bool) { return 5, false }))
+	_, err = outsider.Bind(context.Background(), want())
+	c.Assert(errors.Is(err, refusal.ErrNotRun), qt.IsTrue, qt.Commentf("a host that has no share"))
+}
+
+func TestAnEndpointThatFailsIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld().add(own, "fails", idle(1)).add(own, "works", busy(1, 0))
+	s := newSurveyor(t, w)
+	first := bind(t, s)
+	c.Assert(first.Endpoint.ID, qt.Equals, "fails")
+	s.Finish(first, report.Report{Err: errClosed})
+	c.Assert(bind(t, s).Endpoint.ID, qt.Equals, "works")
+}
+
+func TestAMisdirectedEndpointIsNotUsedUntilItIsListedAnew(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld().add(own, "was", idle(1))
+	s := newSurveyor(t, w)
+	s.Finish(bind(t, s), report.Report{Status: 421, Misdirected: true, Refused: true})
+	_, err := s.Bind(context.Background(), want())
+	c.Assert(errors.Is(err, refusal.ErrNotRun), qt.IsTrue)
+	w.hosts[own][0].Incarnation = "was/2"
+	c.Assert(bind(t, s).Endpoint.ID, qt.Equals, "was")
+}
