Deliver answers that are followed by bytes of no request, and test a whole gateway

TestAnExtraAnswerReachesNobody and TestTroubleOfEndpoints showed it: a whole answer of its declared length was counted as failed when more bytes followed. Only the connection is given up now. Metrics have a registry of their own, as two processes' parts in one test collided.

--- a/poplarhook/modules/exchanger/body.go
+++ b/poplarhook/modules/exchanger/body.go
@@ -30,6 +30,9 @@
 	if b.link.reader.Buffered() > 0 {
 		b.exchanger.countExcess()
 		b.finish(false)
+		if b.exchanger.surplus {
+			return n, io.EOF
+		}
 		return n, errors.Wrapf(ErrExcess, "%s", b.exchanger.address)
 	}
 	b.finish(true)
--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -45,6 +45,8 @@
 	lost        func(address string)
 	// unframed says that an answer may end with its connection.
 	unframed bool
+	// surplus says that bytes after a whole answer spoil only their connection.
+	surplus bool
 
 	mu     sync.Mutex
 	idle   []*link
@@ -85,6 +87,11 @@
 	return func(e *Exchanger) { e.unframed = true }
 }
 
+// WithSurplus takes an answer of its declared length as whole though more bytes follow; its connection is not used again.
+func WithSurplus() Option {
+	return func(e *Exchanger) { e.surplus = true }
+}
+
 // Counts holds what an Exchanger has done since its start.
 type Counts struct {
 	Dialed   uint64 `json:"dialed"`
--- a/poplarhook/modules/meter/meter.go
+++ b/poplarhook/modules/meter/meter.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -20,7 +21,8 @@
 
 // New returns a Meter whose metrics start with the given prefix.
 func New(prefix string) *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -98,7 +98,7 @@
 		sender.WithEncoder(p.Dialect),
 		sender.WithAges(proofAge, reuseAge),
 		sender.WithShare(func() int { return connectionSharers }),
-		sender.WithExchange(exchanger.WithUnframed(), exchanger.WithDialTimeout(dialTimeout)))
+		sender.WithExchange(exchanger.WithUnframed(), exchanger.WithSurplus(), exchanger.WithDialTimeout(dialTimeout)))
 	g.surveyor = surveyor.New(context.WithoutCancel(ctx), d.Region, g.places, asker{g},
 		surveyor.WithClock(clock),
 		surveyor.WithLogger(logger),
