Let large hosts follow the store, and small ones give up asking after two that do not serve

Cause: the source of a region of 35 hosts had a link of 10 Mbit/s and sends every change to each of them; when its streams broke off, all others asked the next in rank, which did not serve yet, and kept away from it, one after the other.

--- a/lib/deployment/deployment.go
+++ b/lib/deployment/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"time"
@@ -28,7 +29,10 @@
 	// HistoryS is for how long the store keeps changes, in seconds.
 	HistoryS float64 `json:"history_s"`
 	MemoryMB int     `json:"memory_mb"`
-	Bounds   Bounds  `json:"bounds"`
+	// Processor is the share of a processor core that the host has, Link the bandwidth of its link in Mbit/s.
+	Processor float64 `json:"processor"`
+	Link      float64 `json:"link_mbps"`
+	Bounds    Bounds  `json:"bounds"`
 }
 
 // Bounds are the figures that the deployment promises to its users.
@@ -156,6 +160,11 @@
 	return net.JoinHostPort(d.Address, fmt.Sprint(d.PeerPorts[0]+1))
 }
 
+// Capacity says how much the host bears in comparison with others: both its processor and its link must bear it.
+func (d Deployment) Capacity() float64 {
+	return math.Sqrt(max(d.Processor, 0) * max(d.Link, 0))
+}
+
 // RegionOf returns the region of the availability zone and whether it is known.
 func (d Deployment) RegionOf(zone string) (string, bool) {
 	region, known := d.Regions[zone]
--- a/lib/host/host.go
+++ b/lib/host/host.go
@@ -27,6 +27,8 @@
 	State            string `json:"state"`
 	// HealthPath is where the endpoint answers health checks, empty for the default.
 	HealthPath string `json:"health_path,omitempty"`
+	// Capacity says how much an entry host bears in comparison with the others, zero when not declared.
+	Capacity float64 `json:"capacity,omitempty"`
 	// ColdUntil is when the endpoint stops being cold, zero when the platform does not say.
 	ColdUntil time.Time `json:"cold_until,omitzero"`
 	// ColdPerSecond is how many requests a second the endpoint bears while it is cold, zero when not declared.
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -129,6 +129,7 @@
 		Region:           d.Region,
 		AvailabilityZone: d.AvailabilityZone,
 		PeerAddress:      d.PeerAddress(),
+		Capacity:         d.Capacity(),
 		State:            host.StateLive,
 	}
 	g.supplier = supplier.New(self, p.Store, supplier.Hooks{
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/change"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/pauser"
-	"poplarhook.example/lib/ranker"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/poplarhook/models/frame"
 	"poplarhook.example/poplarhook/models/view"
@@ -75,6 +75,8 @@
 
 	mu        sync.Mutex
 	penalties map[string]penalty
+	// failures counts the hosts in a row that did not serve.
+	failures int
 }
 
 // penalty keeps a host that did not serve from being asked at once again.
@@ -86,6 +88,7 @@
 const (
 	firstPenalty = 2 * time.Second
 	lastPenalty  = 30 * time.Second
+	maxFailures  = 2
 	// reviewInterval is how often a host that follows the store looks whether another one should do so for it.
 	reviewInterval = time.Second
 )
@@ -241,6 +244,7 @@
 func (s *Supplier) forgive() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.failures = 0
 	clear(s.penalties)
 }
 
@@ -250,12 +254,13 @@
 func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) bool {
 	first := true
 	startedAt := s.clock()
-	err := s.subscriber.Read(ctx, source.PeerAddress, func(f frame.Frame) error {
+	err := s.subscribe(ctx, source, func(f frame.Frame) error {
 		if err := s.take(f); err != nil {
 			return err
 		}
 		if first {
 			first = false
+			s.succeed()
 			begun()
 			s.heard(true)
 			s.counter("source_peer")
@@ -274,6 +279,34 @@
 	return !first
 }
 
+const (
+	// servingTime is how long a host that does not serve yet is asked again: when the source before it dies, it
+	// notices that as late as this one and then needs an answer of the store.
+	servingTime = 400 * time.Millisecond
+	servingStep = 80 * time.Millisecond
+)
+
+// subscribe reads the stream of a host, waiting for a short time until it serves.
+func (s *Supplier) subscribe(ctx context.Context, source host.Host, take func(f frame.Frame) error) error {
+	until := s.clock().Add(servingTime)
+	for {
+		err := s.subscriber.Read(ctx, source.PeerAddress, take)
+		if !errors.Is(err, subscriber.ErrNotServing) || !s.clock().Before(until) {
+			return err
+		}
+		if pauser.Pause(ctx, servingStep) != nil {
+			return err
+		}
+	}
+}
+
+// succeed takes in that a host has served.
+func (s *Supplier) succeed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = 0
+}
+
 // take puts the view of a frame on its shelf.
 func (s *Supplier) take(f frame.Frame) error {
 	now := s.clock()
@@ -301,23 +334,21 @@
 }
 
 // choose returns the host that should follow the store for this region.
+//
+// After two hosts in a row that did not serve this host follows the store
+// itself: to ask one after the other would take longer than a change may.
 func (s *Supplier) choose() host.Host {
 	members := s.members.Get().Items
-	ids := []string{s.self.ID}
-	for id, m := range members {
-		if m.Region == s.self.Region {
-			ids = append(ids, id)
-		}
-	}
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, id := range ranker.New(ids...).Rank(s.self.Region) {
-		if id == s.self.ID {
-			return s.self
-		}
-		if !now.Before(s.penalties[id].until) {
-			return members[id]
+	if s.failures >= maxFailures {
+		s.failures = 0
+		return s.self
+	}
+	for _, h := range sourcesOf(s.self, members) {
+		if h.ID == s.self.ID || !now.Before(s.penalties[h.ID].until) {
+			return h
 		}
 	}
 	return s.self
@@ -327,6 +358,7 @@
 func (s *Supplier) penalise(id string, served time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.failures++
 	p := s.penalties[id]
 	p.last = min(max(2*p.last, firstPenalty), lastPenalty)
 	if served > lastPenalty {
--- a/poplarhook/services/supplier/supplier_test.go
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -78,9 +78,9 @@
 
 // world is a store and entry hosts in one region.
 type world struct {
-	t       *testing.T
-	store   *imitator.Store
-	hosts   []*entryHost
+	t     *testing.T
+	store *imitator.Store
+	hosts []*entryHost
 }
 
 func newWorld(t *testing.T, hosts int) *world {
