--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -99,7 +99,7 @@
 		sender.WithAges(proofAge, reuseAge),
 		sender.WithShare(func() int { return connectionSharers }),
 		sender.WithExchange(exchanger.WithUnframed(), exchanger.WithSurplus(), exchanger.WithDialTimeout(dialTimeout)))
-	g.surveyor = surveyor.New(context.WithoutCancel(ctx), d.Region, g.places, asker{g},
+	g.surveyor = surveyor.New(context.WithoutCancel(ctx), d.HostID, d.Region, g.places, asker{g},
 		surveyor.WithClock(clock),
 		surveyor.WithLogger(logger),
 		surveyor.WithCounter(g.meter.Count),
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -11,6 +11,7 @@
 
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/pauser"
+	"poplarhook.example/lib/ranker"
 	"poplarhook.example/poplarhook/models/admitter"
 	"poplarhook.example/poplarhook/models/binding"
 	"poplarhook.example/poplarhook/models/estimator"
@@ -25,6 +26,8 @@
 	looksAtOnce = 4
 	// farLooks is how many endpoints of other regions are asked, where bytes cost most.
 	farLooks = 3
+	// familiar is how many endpoints of a group a host usually asks: three rounds of looks.
+	familiar = 12
 	// lookWait is how long a request waits for looks in its own region, in excess of the way.
 	lookWait = 15 * time.Millisecond
 	// lookTimeout bounds a look, whose answer counts also after the request has stopped waiting for it.
@@ -50,6 +53,8 @@
 	cold  bool
 	// passedOver says that the endpoint failed or left a look unanswered a moment ago.
 	passedOver bool
+	// unfamiliar says that this host looks at the endpoint only when those that it usually asks are no good.
+	unfamiliar bool
 	estimate   time.Duration
 	report     report.Report
 	lookedAt   time.Time
@@ -97,6 +102,34 @@
 	})
 }
 
+// distance orders candidates before their estimates do.
+func (c candidate) distance() int {
+	switch {
+	case c.passedOver:
+		return 2
+	case c.unfamiliar:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// markFamiliar leaves as many endpoints of each host's own choice as it can keep connections to; all hosts together
+// choose each endpoint about equally often.
+func (s *Surveyor) markFamiliar(candidates []candidate) {
+	if len(candidates) <= familiar {
+		return
+	}
+	ids := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		ids = append(ids, c.host.ID)
+	}
+	best := ranker.New(ids...).Best(s.self, familiar)
+	for i := range candidates {
+		candidates[i].unfamiliar = !slices.Contains(best, candidates[i].host.ID)
+	}
+}
+
 // isFull reports whether the endpoint would have to queue the request behind as many others as it has slots.
 func (c candidate) isFull() bool {
 	return c.report.Loaded && c.report.Waiting >= max(c.report.Slots, 1)
@@ -160,7 +193,10 @@
 		}
 	}
 	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.estimate, b.estimate) })
+	s.markFamiliar(candidates)
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.distance(), b.distance()), cmp.Compare(a.estimate, b.estimate))
+	})
 	if sound := slices.IndexFunc(candidates, func(c candidate) bool { return c.passedOver }); sound > 0 {
 		return candidates[:sound]
 	}
--- a/poplarhook/services/surveyor/surveyor.go
+++ b/poplarhook/services/surveyor/surveyor.go
@@ -33,6 +33,7 @@
 	clock   func() time.Time
 	source  source
 	asker   asker
+	self    string
 	region  string
 	sharers func(endpoint host.Host) (sharers int, included bool)
 	logger  *zap.Logger
@@ -77,13 +78,14 @@
 	return func(s *Surveyor) { s.counter = count }
 }
 
-// New returns a Surveyor for an entry host in the region; looks end with the context.
-func New(ctx context.Context, region string, s source, a asker, options ...Option) *Surveyor {
+// New returns a Surveyor for the entry host in the region; looks end with the context.
+func New(ctx context.Context, self, region string, s source, a asker, options ...Option) *Surveyor {
 	v := &Surveyor{
 		background: ctx,
 		clock:      time.Now,
 		source:     s,
 		asker:      a,
+		self:       self,
 		region:     region,
 		sharers:    func(host.Host) (int, bool) { return 1, true },
 		logger:     zap.NewNop(),
--- a/poplarhook/services/surveyor/surveyor_test.go
+++ b/poplarhook/services/surveyor/surveyor_test.go
@@ -75,7 +75,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	return surveyor.New(ctx, "own", w, w, options...)
+	return surveyor.New(ctx, "entry-1", "own", w, w, options...)
 }
 
 // want is a request with a target of 300 ms.
