--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The one door to the project: `make help` lists the targets.
-MODULES := lib poplarbench poplarctl poplarhook standin tests
+MODULES := lib platform poplarbench poplarctl poplarhook standin tests
 TOOLS := $(CURDIR)/.tools
 GOLANGCI_LINT_VERSION := v2.15.0
 GOFUMPT_VERSION := v0.12.0
@@ -21,7 +21,7 @@
 
 .PHONY: race
 race: ## Run the tests of the shared packages and the programs under the race detector
-	@for m in lib poplarbench poplarctl poplarhook standin; do (cd $$m && go test -race ./...) || exit 1; done
+	@for m in lib platform poplarbench poplarctl poplarhook standin; do (cd $$m && go test -race ./...) || exit 1; done
 
 .PHONY: spec
 spec: ## Check the specifications with Spin, seeded faults included
--- a/poplarhook/models/admitter/admitter_test.go
+++ b/poplarhook/models/admitter/admitter_test.go
@@ -33,7 +33,7 @@
 // do, and counts the callers that are answered before their targets.
 func TestMoreCallersArePunctualUnderOverload(t *testing.T) {
 	c := qt.New(t)
-	judged := play(func(given admitter.Case) admitter.Verdict { return admitter.Judge(given) })
+	judged := play(admitter.Judge)
 	queued := play(func(given admitter.Case) admitter.Verdict {
 		if given.Full {
 			return admitter.Refuse
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -74,14 +74,16 @@
 	}
 	listeners := gateway.Listeners{Callers: listen(t), Ready: listen(t), Peers: listen(t), Admin: listen(t)}
 	w.address, w.ready = listeners.Callers.Addr().String(), listeners.Ready.Addr().String()
-	d := deployment.Deployment{HostID: "entry-1", Region: region, AvailabilityZone: zone, Address: "127.0.0.1", PeerPorts: []int{1, 2}, HistoryS: 20,
-		Bounds: deployment.Bounds{StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ColdFactor: 1.5}}
+	d := deployment.Deployment{
+		HostID: "entry-1", Region: region, AvailabilityZone: zone, Address: "127.0.0.1", PeerPorts: []int{1, 2}, HistoryS: 20,
+		Bounds: deployment.Bounds{StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ColdFactor: 1.5},
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := gateway.New(ctx, d, listeners, newPlatform(store.Listener.Addr().String()), meter.New("test"), zap.NewNop(), time.Now)
 	w.stop, w.done = cancel, g.Run(ctx)
 	t.Cleanup(func() {
 		cancel()
-		<-w.done
+		qt.Check(t, <-w.done, qt.IsNil)
 		for _, e := range w.endpoints {
 			e.Close()
 		}
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,14 +192,18 @@
 		follower.WithTally(d.tally.listed, d.tally.changed),
 		follower.WithList(),
 	}
-	gathering := append(options, follower.WithPause(endpointsPause))
+	gathering := slices.Concat(options, []follower.Option{follower.WithPause(endpointsPause)})
 	ends := []<-chan error{
 		follower.New(feedConfiguration, s.store.Configurations, s.configuration, options...).Run(ctx),
 		follower.New(feedEndpoints, s.store.Endpoints, s.endpoints, gathering...).Run(ctx),
 		follower.New(feedMembers, s.store.Members, s.members, gathering...).Run(ctx),
 	}
 	for _, end := range ends {
-		d.watches.Go(func() { <-end })
+		d.watches.Go(func() {
+			if err := <-end; err != nil {
+				s.logger.Error("watch ended", zap.Error(err))
+			}
+		})
 	}
 }
 
--- a/poplarhook/services/supplier/supplier_test.go
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -136,7 +136,7 @@
 		cancel()
 		e.server.CloseClientConnections()
 		e.server.Close()
-		<-done
+		qt.Check(w.t, <-done, qt.IsNil)
 		way.CloseClientConnections()
 		way.Close()
 	})
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -11,7 +11,7 @@
 log=out/test.log
 : >"$log"
 status=0
-for module in lib poplarbench poplarctl poplarhook standin tests; do
+for module in lib platform poplarbench poplarctl poplarhook standin tests; do
 	(cd "$module" && go test -count=1 -timeout 400s ./...) 2>&1 | tee -a "$log"
 	[ "${PIPESTATUS[0]}" -eq 0 ] || status=1
 done
