--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/host"
+)
+
+// faultsAtOnce bounds how many faults overlap.
+const faultsAtOnce = 3
+
+// seedsThatFailed are played in every run; each once showed a fault, which the line names.
+var seedsThatFailed = []uint64{}
+
+// TestSoak plays seeds that failed before, one fixed seed, and as many fresh ones as SOAK_SEEDS says.
+func TestSoak(t *testing.T) {
+	seeds := append([]uint64{1}, seedsThatFailed...)
+	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
+		first := uint64(time.Now().UnixNano())
+		if given, err := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64); err == nil {
+			first = given
+		}
+		seeds = nil
+		for i := range n {
+			seeds = append(seeds, first+uint64(i))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, seed) })
+	}
+}
+
+func duration() time.Duration {
+	if s, err := strconv.Atoi(os.Getenv("SOAK_SECONDS")); err == nil {
+		return time.Duration(s) * time.Second
+	}
+	return 12 * time.Second
+}
+
+// play runs one seed: faults in series that overlap, then calm, then the checks.
+func play(t *testing.T, seed uint64) {
+	w := newWorld(t)
+	random := rand.New(rand.NewPCG(seed, 0))
+	c := startCallers(w, seed)
+	type running struct {
+		end func()
+		at  time.Time
+	}
+	var open []running
+	for until := time.Now().Add(duration()); time.Now().Before(until); {
+		if len(open) == faultsAtOnce || len(open) > 0 && random.IntN(3) == 0 {
+			time.Sleep(max(time.Until(open[0].at), 0))
+			open[0].end()
+			open = open[1:]
+			continue
+		}
+		what, end := draw(random, faults)(w, random)
+		t.Logf("%s %s", time.Now().Format("05.000"), what)
+		open = append(open, running{end: end, at: time.Now().Add(length(random))})
+		time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
+	}
+	for _, o := range open {
+		o.end()
+	}
+	w.checkCalm(c)
+	w.checkRequests(c.end())
+	w.checkProcesses()
+	if t.Failed() {
+		w.keepLogs(seed)
+	}
+}
+
+// checkCalm waits for the bounds to hold and checks that every host keeps to what the store holds.
+func (w *world) checkCalm(c *callers) {
+	time.Sleep(stable)
+	drained, out := w.endpoints[0], zoneName(zones-1)
+	w.list(drained, host.StateLeaving)
+	w.store.TakeZoneOut(out)
+	time.Sleep(zoneOutBound)
+	w.checkUnused(func(e *endpoint) bool { return e == drained || e.zone == out })
+	for _, e := range w.entries {
+		request, err := http.NewRequest(http.MethodGet, "http://"+e.settings.Listen+fmt.Sprintf("/version-%d/1", w.version), http.NoBody)
+		qt.Assert(w.t, err, qt.IsNil)
+		request.Host = shop
+		request.Header.Set("Request-Id", "newest-"+e.settings.HostID)
+		request.Header.Set("Deadline-Ms", "1500")
+		response, err := c.client.Do(request)
+		if !qt.Check(w.t, err, qt.IsNil, qt.Commentf("%s after the faults", e.settings.HostID)) {
+			continue
+		}
+		response.Body.Close()
+		qt.Check(w.t, response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("version %d at %s", w.version, e.settings.HostID))
+	}
+}
+
+// checkUnused sees that the endpoints get nothing for a while, which callers go on calling.
+func (w *world) checkUnused(among func(e *endpoint) bool) {
+	before := make(map[*endpoint]int)
+	for _, e := range w.endpoints {
+		before[e] = len(e.Runs())
+	}
+	time.Sleep(time.Second)
+	used := 0
+	for _, e := range w.endpoints {
+		n := len(e.Runs()) - before[e]
+		if among(e) {
+			qt.Check(w.t, n, qt.Equals, 0, qt.Commentf("requests at %s, which is leaving or out", e.ID))
+			continue
+		}
+		used += n
+	}
+	qt.Check(w.t, used > 0, qt.IsTrue, qt.Commentf("the others are used"))
+}
+
+// checkRequests holds what callers saw against what endpoints ran.
+func (w *world) checkRequests(all []seen) {
+	runs := make(map[string]int)
+	for _, e := range w.endpoints {
+		for _, r := range e.Runs() {
+			runs[r.RequestID]++
+		}
+	}
+	served := 0
+	known := make(map[string]bool)
+	for _, one := range all {
+		known[one.id] = true
+		n := runs[one.id]
+		if one.status == http.StatusOK {
+			served++
+			qt.Check(w.t, n > 0, qt.IsTrue, qt.Commentf("%s was answered and never ran", one.id))
+		}
+		qt.Check(w.t, one.broken, qt.Equals, "", qt.Commentf("%s", one.id))
+		if !one.order {
+			continue
+		}
+		qt.Check(w.t, n <= 1, qt.IsTrue, qt.Commentf("order %s ran %d times", one.id, n))
+		if one.status == http.StatusServiceUnavailable || one.status == http.StatusTooManyRequests {
+			qt.Check(w.t, n, qt.Equals, 0, qt.Commentf("order %s was refused as not run", one.id))
+		}
+	}
+	w.t.Logf("%d of %d requests served", served, len(all))
+	qt.Check(w.t, served*2 > len(all), qt.IsTrue, qt.Commentf("%d of %d requests served", served, len(all)))
+}
+
+// checkProcesses sees that no gateway ended by itself.
+func (w *world) checkProcesses() {
+	for _, e := range w.entries {
+		select {
+		case <-e.process.Done():
+			w.t.Errorf("%s ended by itself", e.settings.HostID)
+		default:
+		}
+	}
+}
+
+// keepLogs copies the logs of a seed that failed to a folder that outlasts the test.
+func (w *world) keepLogs(seed uint64) {
+	folder := filepath.Join(os.TempDir(), fmt.Sprintf("poplarhook-soak-%d", seed))
+	if err := os.CopyFS(folder, os.DirFS(w.folder)); err != nil {
+		w.t.Logf("logs could not be kept: %v", err)
+		return
+	}
+	w.t.Logf("logs are kept in %s", folder)
+}
