--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"poplarhook.example/poplarhook/models/answer"
 	"poplarhook.example/poplarhook/models/binding"
@@ -45,7 +46,7 @@
 func (d *Dispatcher) exchange(ctx context.Context, j job.Job, b binding.Binding, sentAt time.Time) (*answer.Answer, error) {
 	response, err := d.sender.Send(ctx, b, j) //nolint:bodyclose // readStart or the answer's release closes it
 	if err != nil {
-		return nil, d.failed(ctx, b, report.Report{}, sentAt, err)
+		return nil, d.failed(ctx, j, b, report.Report{}, sentAt, err)
 	}
 	seen := d.reader.Report(j, response)
 	seen.Closing = seen.Closing || response.Close
@@ -55,11 +56,13 @@
 		err = errForeign
 	}
 	if err != nil {
-		return nil, d.failed(ctx, b, seen, sentAt, err)
+		return nil, d.failed(ctx, j, b, seen, sentAt, err)
 	}
 	if whole && d.reader.Refuses(response, start) {
 		d.counter("endpoint_refused")
 		seen.Refused = true
+		d.logger.Info("endpoint refused", zap.String("request", j.ID), zap.String("endpoint", b.Endpoint.ID), zap.Int("status", response.StatusCode),
+			zap.Int("running", seen.InFlight), zap.Int("waiting", seen.Waiting), zap.Bool("misdirected", seen.Misdirected))
 		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
 		return nil, errors.Wrapf(refusal.ErrNotRun, "endpoint %s refused", b.Endpoint.ID)
 	}
@@ -86,12 +89,14 @@
 }
 
 // failed ends the binding of a broken attempt and tells how far the attempt came.
-func (d *Dispatcher) failed(ctx context.Context, b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
+func (d *Dispatcher) failed(ctx context.Context, j job.Job, b binding.Binding, seen report.Report, sentAt time.Time, err error) error {
 	heldBack := errors.Is(err, exchanger.ErrHeldBack)
 	seen.Cancelled = heldBack || ctx.Err() != nil
 	seen.Unsent = heldBack || errors.Is(err, exchanger.ErrNotSent)
 	seen = seen.WithResult(d.clock().Sub(sentAt), err)
 	d.binder.Finish(b, seen)
+	d.logger.Warn("attempt failed", zap.String("request", j.ID), zap.String("endpoint", b.Endpoint.ID), zap.String("incarnation", b.Endpoint.Incarnation),
+		zap.Bool("unsent", seen.Unsent), zap.Bool("cancelled", seen.Cancelled), zap.Duration("took", seen.Latency), zap.Error(err))
 	if seen.Unsent {
 		d.counter("attempt_not_sent")
 		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
--- a/poplarhook/services/dispatcher/repeatable.go
+++ b/poplarhook/services/dispatcher/repeatable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"poplarhook.example/poplarhook/models/answer"
 	"poplarhook.example/poplarhook/models/job"
@@ -181,7 +182,11 @@
 	if r.over {
 		return false
 	}
-	if r.sends >= sendsOf(r.job.Class) || !b.Spend(r.d.clock(), r.job.Class.Service) {
+	allowed := r.sends < sendsOf(r.job.Class)
+	budgeted := allowed && b.Spend(r.d.clock(), r.job.Class.Service)
+	r.d.logger.Info("repeat decided", zap.String("request", r.job.ID), zap.String("kind", sent), zap.Int("sends", r.sends),
+		zap.Bool("allowed", allowed), zap.Bool("budgeted", budgeted), zap.Duration("age", r.d.clock().Sub(r.job.Arrived)))
+	if !budgeted {
 		r.d.counter(denied)
 		return false
 	}
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -78,6 +78,7 @@
 			continue
 		case admitter.Refuse:
 			s.counter("bind_refused")
+			s.logRefused(best, w)
 			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "every endpoint is full").WithRetryAfter(best.estimate / 2)
 		}
 		if err := pauser.Pause(ctx, relook); err != nil {
@@ -86,6 +87,14 @@
 	}
 }
 
+func (s *Surveyor) logRefused(best candidate, w wish.Wish) {
+	now := s.clock()
+	s.logger.Warn("no endpoint would answer in time", zap.String("request", w.Request), zap.String("class", w.Class),
+		zap.String("best", best.host.ID), zap.Int("running", best.report.InFlight), zap.Int("waiting", best.report.Waiting),
+		zap.Float64("slowness", best.report.Slowness), zap.Duration("look_age", now.Sub(best.lookedAt)),
+		zap.Duration("estimate", best.estimate), zap.Duration("target_in", w.Target.Sub(now)), zap.Duration("deadline_in", w.Until.Sub(now)))
+}
+
 // judge decides what becomes of a request whose best endpoint is the given one.
 func (s *Surveyor) judge(best candidate, w wish.Wish) admitter.Verdict {
 	now := s.clock()
