--- a/poplarhook/services/surveyor/surveyor.go
+++ b/poplarhook/services/surveyor/surveyor.go
@@ -116,7 +116,10 @@
 		k.replaced = true
 	case r.Refused:
 		k.passOverUntil = now.Add(refusedFor)
+	case r.Cancelled && !s.isOverdue(b, r.Latency):
+		// A caller that left soon, or another attempt that was quicker, says nothing about the endpoint.
 	case r.Cancelled:
+		s.reputation.Record(now, b.Endpoint.ID, true)
 	case r.Err != nil:
 		s.reputation.Record(now, b.Endpoint.ID, true)
 		k.passOverUntil = now.Add(failedFor)
@@ -128,7 +131,16 @@
 	}
 }
 
+// isOverdue reports whether an answer that did not come should have come long before. The lock is held.
+func (s *Surveyor) isOverdue(b binding.Binding, waited time.Duration) bool {
+	work := s.estimator.Work(b.Class, 0)
+	usual := time.Duration(float64(work) * max(b.Slowness, 1))
+	return work > 0 && waited > overdue*usual
+}
+
 const (
+	// overdue is after how many times the usual work an answer counts as lost; spells of slowness take up to five.
+	overdue = 4
 	// refusedFor is how long an endpoint that refused for want of room is passed over: about half of the shortest work.
 	refusedFor = 20 * time.Millisecond
 	// failedFor is how long an endpoint that failed is passed over while others are left.
--- a/poplarhook/services/surveyor/surveyor_test.go
+++ b/poplarhook/services/surveyor/surveyor_test.go
@@ -161,6 +161,33 @@
 	c.Assert(bind(t, s).Endpoint.ID, qt.Equals, "works")
 }
 
+func TestAnEndpointThatSwallowsAnswersIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld().add(own, "swallows", idle(1)).add(own, "works", busy(1, 0))
+	s := newSurveyor(t, w)
+	usual := report.Report{Status: 200, Latency: 60 * time.Millisecond}
+	for range 10 {
+		s.Finish(bind(t, s), usual)
+	}
+	// Its work ends as usual, but the callers' patience ends first for every other answer.
+	for range 4 {
+		b := bind(t, s)
+		if b.Endpoint.ID == "swallows" {
+			s.Finish(b, report.Report{Cancelled: true, Err: errClosed, Latency: time.Second})
+		}
+	}
+	c.Assert(bind(t, s).Endpoint.ID, qt.Equals, "works")
+	// A caller that leaves soon says nothing about the endpoint.
+	fresh := newSurveyor(t, newWorld().add(own, "left", idle(1)).add(own, "other", busy(1, 0)))
+	for range 4 {
+		fresh.Finish(bind(t, fresh), usual)
+	}
+	for range 4 {
+		fresh.Finish(bind(t, fresh), report.Report{Cancelled: true, Err: errClosed, Latency: 30 * time.Millisecond})
+	}
+	c.Assert(bind(t, fresh).Endpoint.ID, qt.Equals, "left")
+}
+
 func TestAMisdirectedEndpointIsNotUsedUntilItIsListedAnew(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld().add(own, "was", idle(1))
