--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -56,7 +56,7 @@
 	logger := newLineLogger(lines).With(zap.String("self", d.HostID))
 	err := serveGateway(ctx, path, d, logger)
 	if err != nil {
-		logger.Error("gateway failed", zap.Error(err))
+		logger.Error("gateway failed", zap.String("error", err.Error()))
 	}
 	stopWriting()
 	<-written
@@ -113,7 +113,7 @@
 			}
 			d, err := deployment.Read(path)
 			if err != nil {
-				logger.Error("settings are not allowed, the old ones hold", zap.Error(err))
+				logger.Error("settings are not allowed, the old ones hold", zap.String("error", err.Error()))
 				continue
 			}
 			g.SetDeployment(d)
@@ -126,7 +126,7 @@
 // newPlatform returns the platform of the deployment.
 func newPlatform(d deployment.Deployment, logger *zap.Logger, count func(event string)) gateway.Platform {
 	skipped := func(name string, err error) {
-		logger.Warn("object of the store is left out", zap.String("object", name), zap.Error(err))
+		logger.Warn("object of the store is left out", zap.String("object", name), zap.String("error", err.Error()))
 	}
 	c := client.New(d.StoreAddress, client.WithCounter(count))
 	decode := decoder.New(d.RegionOf)
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -96,7 +96,7 @@
 	seen = seen.WithResult(d.clock().Sub(sentAt), err)
 	d.binder.Finish(b, seen)
 	d.logger.Warn("attempt failed", zap.String("request", j.ID), zap.String("endpoint", b.Endpoint.ID), zap.String("incarnation", b.Endpoint.Incarnation),
-		zap.Bool("unsent", seen.Unsent), zap.Bool("cancelled", seen.Cancelled), zap.Duration("took", seen.Latency), zap.Error(err))
+		zap.Bool("unsent", seen.Unsent), zap.Bool("cancelled", seen.Cancelled), zap.Duration("took", seen.Latency), zap.String("error", err.Error()))
 	if seen.Unsent {
 		d.counter("attempt_not_sent")
 		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -209,7 +209,7 @@
 	}
 	f.lost = true
 	f.logger.Warn("store lost", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision),
-		zap.Duration("age", f.clock().Sub(f.view.HeardAt)), zap.Error(err))
+		zap.Duration("age", f.clock().Sub(f.view.HeardAt)), zap.String("error", err.Error()))
 }
 
 func (f *Follower[T]) regained() {
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -55,7 +55,7 @@
 				err = ended
 			}
 		}
-		g.logger.Info("stopped", zap.Error(err))
+		g.logger.Info("stopped", zap.Bool("whole", err == nil))
 		_ = g.meter.Close()
 		done <- err
 	}()
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -163,7 +163,7 @@
 
 func (d *direct) miss(err error) {
 	if d.heard.Swap(false) {
-		d.s.logger.Warn("store lost", zap.Error(err), zap.Int64("revision", d.newest()))
+		d.s.logger.Warn("store lost", zap.String("error", err.Error()), zap.Int64("revision", d.newest()))
 		d.s.heard(false)
 	}
 	d.s.broadcaster.SetLost(true)
@@ -202,7 +202,7 @@
 	for _, end := range ends {
 		d.watches.Go(func() {
 			if err := <-end; err != nil {
-				s.logger.Error("watch ended", zap.Error(err))
+				s.logger.Error("watch ended", zap.String("error", err.Error()))
 			}
 		})
 	}
@@ -256,7 +256,7 @@
 			if err == nil {
 				break
 			}
-			s.logger.Warn("own entry is not written yet", zap.Error(err))
+			s.logger.Warn("own entry is not written yet", zap.String("error", err.Error()))
 			_ = pauser.Pause(ctx, pause)
 			pause = min(2*pause, lastRegisterPause)
 		}
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -156,7 +156,7 @@
 	return func(v view.View[T]) {
 		f, err := frame.New(feed, v)
 		if err != nil {
-			s.logger.Error("view cannot be told", zap.String("feed", feed), zap.Error(err))
+			s.logger.Error("view cannot be told", zap.String("feed", feed), zap.String("error", err.Error()))
 			return
 		}
 		s.broadcaster.Send(f)
@@ -240,7 +240,7 @@
 	defer cancel()
 	items, revision, err := s.store.Members.List(ctx)
 	if err != nil {
-		s.logger.Warn("entry hosts are not known yet", zap.Error(err))
+		s.logger.Warn("entry hosts are not known yet", zap.String("error", err.Error()))
 		return
 	}
 	s.members.Put(view.View[host.Host]{Items: items, Revision: revision, HeardAt: s.clock()})
@@ -258,7 +258,7 @@
 			continue
 		}
 		if err := s.subscriber.Ask(ctx, address, s.take); err != nil {
-			s.logger.Warn("seed does not answer", zap.String("address", address), zap.Error(err))
+			s.logger.Warn("seed does not answer", zap.String("address", address), zap.String("error", err.Error()))
 			continue
 		}
 		s.logger.Info("learned from a seed", zap.String("address", address), zap.Int64("revision", s.configuration.Get().Revision))
@@ -300,7 +300,7 @@
 		s.heard(false)
 	}
 	s.penalise(source.ID, s.clock().Sub(startedAt))
-	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.Error(err))
+	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.String("error", err.Error()))
 	return !first
 }
 
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -79,7 +79,7 @@
 		case admitter.Refuse:
 			s.counter("bind_refused")
 			s.logRefused(best, w)
-			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "every endpoint is full").WithRetryAfter(best.estimate / 2)
+			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint would answer in time").WithRetryAfter(best.estimate / 2)
 		}
 		if err := pauser.Pause(ctx, relook); err != nil {
 			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "every endpoint was full until the deadline").WithRetryAfter(noneOpenWait)
