--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -125,8 +125,9 @@
 	}
 	now := d.s.clock()
 	known := d.s.zonesOut.Get()
-	if n := differences(known.Items, items); known.Revision == 0 || n > 0 {
-		d.tally.changed(n)
+	n := differences(known.Items, items)
+	d.tally.read(n)
+	if known.Revision == 0 || n > 0 {
 		d.s.zonesOut.Put(view.View[json.RawMessage]{Items: items, Revision: revision, HeardAt: now})
 	}
 	d.compare(now, revision)
