--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strconv"
 	"testing"
 	"time"
@@ -18,8 +17,12 @@
 // faultsAtOnce bounds how many faults overlap.
 const faultsAtOnce = 3
 
-// seedsThatFailed are played in every run; each once showed a fault, which the line names.
-var seedsThatFailed = []uint64{}
+// seedsThatFailed are played in every run.
+var seedsThatFailed = []uint64{
+	// One gateway was not ready 20 s after its start, once; its log was not kept and the seed passes since. Open; a port
+	// that an outgoing connection had taken would look like that, and ports are chosen otherwise now.
+	2000,
+}
 
 // TestSoak plays seeds that failed before, one fixed seed, and as many fresh ones as SOAK_SEEDS says.
 func TestSoak(t *testing.T) {
@@ -74,9 +77,6 @@
 	w.checkCalm(c)
 	w.checkRequests(c.end())
 	w.checkProcesses()
-	if t.Failed() {
-		w.keepLogs(seed)
-	}
 }
 
 // checkCalm waits for the bounds to hold and checks that every host keeps to what the store holds.
@@ -154,17 +154,19 @@
 // checkProcesses sees that no gateway ended by itself.
 func (w *world) checkProcesses() {
 	for _, e := range w.entries {
-		select {
-		case <-e.process.Done():
+		if e.hasEnded() {
 			w.t.Errorf("%s ended by itself", e.settings.HostID)
-		default:
 		}
 	}
 }
 
 // keepLogs copies the logs of a seed that failed to a folder that outlasts the test.
-func (w *world) keepLogs(seed uint64) {
-	folder := filepath.Join(os.TempDir(), fmt.Sprintf("poplarhook-soak-%d", seed))
+func (w *world) keepLogs() {
+	folder, err := os.MkdirTemp("", "poplarhook-soak-")
+	if err != nil {
+		w.t.Logf("logs could not be kept: %v", err)
+		return
+	}
 	if err := os.CopyFS(folder, os.DirFS(w.folder)); err != nil {
 		w.t.Logf("logs could not be kept: %v", err)
 		return
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -67,6 +67,7 @@
 	entries   []*entry
 	endpoints []*endpoint
 	version   int64
+	nextPort  int
 }
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
@@ -79,6 +80,9 @@
 	server := httptest.NewServer(w.store)
 	w.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
+		if t.Failed() {
+			w.keepLogs()
+		}
 		for _, e := range w.entries {
 			if e.process != nil {
 				_ = e.process.Thaw()
@@ -106,7 +110,8 @@
 		}
 	}
 	for _, e := range w.entries {
-		awaiter.New(10*time.Millisecond).Await(t, 20*time.Second, e.settings.HostID+" is ready", func() bool { return e.isReady() })
+		awaiter.New(10*time.Millisecond).Await(t, 20*time.Second, e.settings.HostID+" is ready or ended", func() bool { return e.isReady() || e.hasEnded() })
+		qt.Assert(t, e.hasEnded(), qt.IsFalse, qt.Commentf("%s ended by itself at its start", e.settings.HostID))
 	}
 	return w
 }
@@ -145,14 +150,27 @@
 	return f
 }
 
-// freePorts returns ports of loopback that were free a moment ago.
+const (
+	// firstPort and portsARun keep listeners below the ports that the system gives to outgoing connections, and
+	// runs beside each other apart.
+	firstPort  = 15000
+	portsARun  = 64
+	runsBeside = 200
+)
+
+// freePorts returns the next ports of loopback that are free.
 func (w *world) freePorts(n int) []int {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(w.t, err, qt.IsNil)
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	for len(ports) < n {
+		port := firstPort + os.Getpid()%runsBeside*portsARun + w.nextPort
+		w.nextPort++
+		qt.Assert(w.t, w.nextPort < portsARun, qt.IsTrue, qt.Commentf("no port is free"))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		l.Close()
+		ports = append(ports, port)
 	}
 	return ports
 }
@@ -191,6 +209,15 @@
 	e.process = p
 }
 
+func (e *entry) hasEnded() bool {
+	select {
+	case <-e.process.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 func (e *entry) isReady() bool {
 	client := &http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + e.settings.ReadyListen + "/ready")
