--- /dev/null
+++ b/poplarhook/models/belief/doc.go
@@ -0,0 +1,2 @@
+// Package belief holds what an entry host knows and from where, for its dump.
+package belief
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,7 @@
 	"poplarhook.example/platform/dialect"
 	"poplarhook.example/platform/feed"
 	"poplarhook.example/platform/imitator"
+	"poplarhook.example/poplarhook/models/belief"
 	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/services/gateway"
 	"poplarhook.example/poplarhook/services/supplier"
@@ -37,6 +39,7 @@
 	endpoints []*imitator.Endpoint
 	address   string
 	ready     string
+	admin     string
 	stop      context.CancelFunc
 	done      <-chan error
 }
@@ -73,7 +76,7 @@
 		w.list(e, host.StateLive)
 	}
 	listeners := gateway.Listeners{Callers: listen(t), Ready: listen(t), Peers: listen(t), Admin: listen(t)}
-	w.address, w.ready = listeners.Callers.Addr().String(), listeners.Ready.Addr().String()
+	w.address, w.ready, w.admin = listeners.Callers.Addr().String(), listeners.Ready.Addr().String(), listeners.Admin.Addr().String()
 	d := deployment.Deployment{
 		HostID: "entry-1", Region: region, AvailabilityZone: zone, Address: "127.0.0.1", AdminPorts: []int{1, 2}, HistoryS: 20,
 		Bounds: deployment.Bounds{StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ColdFactor: 1.5},
@@ -195,6 +198,33 @@
 	c.Assert(runs[0].Header.Get("Deadline-Ms") <= "900", qt.IsTrue)
 }
 
+func TestTheDumpTellsWhatTheHostKnows(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := configured(t, 2)
+	w.store.TakeZoneOut("zone-9")
+	c.Assert(w.send(http.MethodGet, "/lookup/1", "r1", "").status, qt.Equals, 200)
+	var known belief.Belief
+	w.await("the zone that is out is told", func() bool {
+		response, err := http.Get("http://" + w.admin + gateway.DumpPath)
+		c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		known = belief.Belief{}
+		c.Assert(json.NewDecoder(response.Body).Decode(&known), qt.IsNil)
+		return len(known.ZonesOut) == 1
+	})
+	c.Assert(known.Version, qt.Equals, int64(2))
+	c.Assert(known.Heard && known.Ready, qt.IsTrue)
+	c.Assert(known.Endpoints, qt.HasLen, 2)
+	c.Assert(known.Endpoints[0].ReportedAt.IsZero(), qt.IsFalse)
+	metrics, err := http.Get("http://" + w.admin + "/metrics")
+	c.Assert(err, qt.IsNil)
+	defer metrics.Body.Close()
+	text, err := io.ReadAll(metrics.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(text), qt.Contains, "test_looks")
+}
+
 func TestAHostWithoutConfigurationRefusesAsNotRun(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -80,10 +80,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// newAdmin serves the metrics.
+// newAdmin serves the metrics and the dump.
 func (g *Gateway) newAdmin() http.Handler {
 	router := mux.NewRouter()
 	router.Handle("/metrics", g.meter.Handler()).Methods(http.MethodGet)
+	router.HandleFunc(DumpPath, g.serveDump).Methods(http.MethodGet)
 	return router
 }
 
