--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -59,8 +59,17 @@
 		logger.Error("gateway failed", zap.String("error", err.Error()))
 	}
 	stopWriting()
-	<-written
-	return err
+	return firstError(err, <-written)
+}
+
+// firstError returns the first of the errors that is one, nil without any.
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func serveGateway(ctx context.Context, path string, d deployment.Deployment, logger *zap.Logger) error {
@@ -73,8 +82,7 @@
 	g := gateway.New(ctx, d, listeners, newPlatform(d, logger, m.Count), m, logger, time.Now)
 	reloaded := reload(ctx, path, g, logger)
 	err = errors.Wrap(<-g.Run(ctx), "gateway")
-	<-reloaded
-	return err
+	return firstError(err, <-reloaded)
 }
 
 func listenAll(ctx context.Context, d deployment.Deployment) (gateway.Listeners, error) {
