--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"poplarhook.example/lib/deployment"
+	"poplarhook.example/lib/pauser"
 	"poplarhook.example/platform/client"
 	"poplarhook.example/platform/decoder"
 	"poplarhook.example/platform/dialect"
@@ -34,27 +35,35 @@
 	path := os.Getenv(settings.FileVariable)
 	parsed.String(&path, "", "settings", "file of settings in JSON (environment: "+settings.FileVariable+")")
 	return subcommand{parsed: parsed, run: func() error {
+		// Before anything else: the signal ends a process that does not expect it.
+		reloads := make(chan os.Signal, 1)
+		signal.Notify(reloads, syscall.SIGHUP)
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
 		d, err := deployment.Read(path)
 		if err != nil {
+			// The platform starts the process again at once; without a pause bad settings would make a busy loop.
+			_ = pauser.Pause(ctx, pauseBeforeExit)
 			return err
 		}
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-		defer stop()
-		return runGateway(ctx, path, d, out)
+		return runGateway(ctx, path, d, reloads, out)
 	}}
 }
 
+// pauseBeforeExit is how long a process with bad settings stays, so that it starts no more than some ten times a minute.
+const pauseBeforeExit = 5 * time.Second
+
 // collectAt is the growth of the heap in percent at which garbage is collected: memory is dearer than processor time.
 const collectAt = 40
 
 // runGateway serves until the context ends; log lines are written to the end of the stop.
-func runGateway(ctx context.Context, path string, d deployment.Deployment, out io.Writer) error {
+func runGateway(ctx context.Context, path string, d deployment.Deployment, reloads <-chan os.Signal, out io.Writer) error {
 	debug.SetGCPercent(collectAt)
 	lines := linewriter.New(out, time.Now)
 	writing, stopWriting := context.WithCancel(context.WithoutCancel(ctx))
 	written := lines.Run(writing)
 	logger := newLineLogger(lines).With(zap.String("self", d.HostID))
-	err := serveGateway(ctx, path, d, logger)
+	err := serveGateway(ctx, path, d, reloads, logger)
 	if err != nil {
 		logger.Error("gateway failed", zap.String("error", err.Error()))
 	}
@@ -72,7 +81,7 @@
 	return nil
 }
 
-func serveGateway(ctx context.Context, path string, d deployment.Deployment, logger *zap.Logger) error {
+func serveGateway(ctx context.Context, path string, d deployment.Deployment, reloads <-chan os.Signal, logger *zap.Logger) error {
 	listeners, err := listenAll(ctx, d)
 	if err != nil {
 		return err
@@ -80,8 +89,10 @@
 	logger.Info("starting", zap.String("listen", d.Listen), zap.String("region", d.Region), zap.String("availability_zone", d.AvailabilityZone))
 	m := meter.New("poplarhook")
 	g := gateway.New(ctx, d, listeners, newPlatform(d, logger, m.Count), m, logger, time.Now)
-	reloaded := reload(ctx, path, g, logger)
+	running, stopReloads := context.WithCancel(context.WithoutCancel(ctx))
+	reloaded := reload(running, path, g, reloads, logger)
 	err = errors.Wrap(<-g.Run(ctx), "gateway")
+	stopReloads()
 	return firstError(err, <-reloaded)
 }
 
@@ -105,13 +116,10 @@
 	return l, nil
 }
 
-// reload reads the settings again at each SIGHUP until the context ends; settings that are not allowed change nothing.
-func reload(ctx context.Context, path string, g *gateway.Gateway, logger *zap.Logger) <-chan error {
+// reload reads the settings again at each signal until the context ends; settings that are not allowed change nothing.
+func reload(ctx context.Context, path string, g *gateway.Gateway, signals <-chan os.Signal, logger *zap.Logger) <-chan error {
 	done := make(chan error, 1)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(signals)
 		for {
 			select {
 			case <-ctx.Done():
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -133,7 +133,7 @@
 
 func (w *world) addEndpoint(z, i int, name string) {
 	e := &endpoint{Endpoint: imitator.NewEndpoint(fmt.Sprintf("%s-%d-%d", name, z, i)), zone: zoneName(z), service: name}
-	e.way = w.link(e.Endpoint.Address())
+	e.way = w.link(e.Address())
 	w.endpoints = append(w.endpoints, e)
 	w.list(e, host.StateLive)
 }
