Bound looks by the allowed health checks, callers' waits by a second, and use endpoints that do not tell their load

Found by reading: under a lasting overload each waiting request looked at up to a dozen endpoints every 35 ms; Retry-After could be half a minute when no look was answered; an endpoint without a load report counted as the fastest of all, and its coldness was not learned.

--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -52,6 +52,9 @@
 	draining   atomic.Bool
 	// heard says that the views below are kept up to date.
 	heard atomic.Bool
+	// hosts and listed are how many entry hosts and endpoints there are.
+	hosts  atomic.Int64
+	listed atomic.Int64
 	// region ranks the entry hosts of the own region.
 	region atomic.Pointer[ranker.Ranker]
 
@@ -103,6 +106,7 @@
 		surveyor.WithClock(clock),
 		surveyor.WithLogger(logger),
 		surveyor.WithCounter(g.meter.Count),
+		surveyor.WithLookRate(g.lookRate),
 		surveyor.WithSharers(g.coldSharers))
 	g.repeats = allowance.New(d.Bounds.RetryShare*retryShareUsed,
 		budgeter.WithMinimum(0),
@@ -177,6 +181,16 @@
 	return len(sharers), slices.Contains(sharers, g.deployment.Load().HostID)
 }
 
+// probesUsed is the part of the allowed health checks that hosts use together.
+const probesUsed = 0.7
+
+// lookRate returns this host's part of the health checks that all endpoints together may get in a second.
+func (g *Gateway) lookRate() float64 {
+	hosts := max(g.hosts.Load(), 1)
+	endpoints := g.listed.Load()
+	return probesUsed * g.deployment.Load().Bounds.ProbesPerSecond * float64(max(endpoints, 1)) / float64(hosts)
+}
+
 // setMembers takes in which entry hosts there are.
 func (g *Gateway) setMembers(v view.View[host.Host]) {
 	ids := []string{g.deployment.Load().HostID}
@@ -191,6 +205,7 @@
 	}
 	region := ranker.New(ids...)
 	g.region.Store(&region)
+	g.hosts.Store(int64(hosts))
 	g.repeats.SetMinimum(int(g.deployment.Load().Bounds.RetrySlack * retrySlackUsed / float64(hosts)))
 	g.logger.Info("entry hosts known", zap.Int("hosts", hosts), zap.Int("in_region", len(ids)), zap.Int64("store_revision", v.Revision))
 }
@@ -281,6 +296,7 @@
 	}
 	d := directoryOf(g.endpoints.Revision, g.used, g.configuration)
 	g.places.SetDirectory(d)
+	g.listed.Store(int64(len(g.used)))
 	g.sender.Retain(d.Endpoints())
 	g.surveyor.Retain(d.Endpoints())
 }
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -79,7 +79,7 @@
 		case admitter.Refuse:
 			s.counter("bind_refused")
 			s.logRefused(best, w)
-			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint would answer in time").WithRetryAfter(best.estimate / 2)
+			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint would answer in time").WithRetryAfter(comeBackIn(best.estimate))
 		}
 		if err := pauser.Pause(ctx, relook); err != nil {
 			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "every endpoint was full until the deadline").WithRetryAfter(noneOpenWait)
@@ -87,6 +87,18 @@
 	}
 }
 
+const (
+	// soonest and latest bound when a caller of full endpoints may come back: some work has ended by then, and a load
+	// that lasts longer is better asked about again than guessed.
+	soonest = 50 * time.Millisecond
+	latest  = time.Second
+)
+
+// comeBackIn returns when a caller may come back if the best endpoint needs the given time.
+func comeBackIn(estimate time.Duration) time.Duration {
+	return min(max(estimate/2, soonest), latest)
+}
+
 func (s *Surveyor) logRefused(best candidate, w wish.Wish) {
 	now := s.clock()
 	s.logger.Warn("no endpoint would answer in time", zap.String("request", w.Request), zap.String("class", w.Class),
@@ -139,6 +151,22 @@
 	}
 }
 
+// hasFreeSlot reports whether the request should be worked on at once, as far as is known.
+func (c candidate) hasFreeSlot() bool {
+	if !c.report.Loaded {
+		return c.sentBefore == 0
+	}
+	return c.report.InFlight < max(c.report.Slots, 1) && c.report.Waiting == 0
+}
+
+// slowness returns how long work takes, 1 as usual where the endpoint does not tell.
+func (c candidate) slowness() float64 {
+	if !c.report.Loaded || c.report.Slowness <= 0 {
+		return 1
+	}
+	return c.report.Slowness
+}
+
 // isFull reports whether the endpoint would have to queue the request behind as many others as it has slots.
 func (c candidate) isFull() bool {
 	return c.report.Loaded && c.report.Waiting >= max(c.report.Slots, 1)
@@ -269,6 +297,12 @@
 
 // look asks the endpoints together and returns those that answered in time, estimated anew.
 func (s *Surveyor) look(ctx context.Context, w wish.Wish, candidates []candidate) []candidate {
+	allowed := s.allowed(len(candidates))
+	if allowed == 0 {
+		s.counter("looks_over_budget")
+		return candidates[:1]
+	}
+	candidates = candidates[:allowed]
 	answers := make(chan candidate, len(candidates))
 	wait := lookWait
 	for _, c := range candidates {
@@ -298,6 +332,14 @@
 	return looked
 }
 
+// allowed returns how many of the wanted looks the budget allows.
+func (s *Surveyor) allowed(wanted int) int {
+	now := s.clock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.looks.Take(now, s.lookRate(), wanted)
+}
+
 // orUnlooked returns the first candidate as it was known when no look was answered.
 func (s *Surveyor) orUnlooked(looked, candidates []candidate) []candidate {
 	if len(looked) > 0 {
@@ -354,11 +396,16 @@
 	defer s.mu.Unlock()
 	k := s.knowledgeOf(c.host)
 	since := max(k.inFlight-c.sentBefore, 0)
+	running, slowness := c.report.InFlight+since, c.report.Slowness
+	if !c.report.Loaded {
+		// The endpoint does not tell its load: only this host's own requests are known.
+		running, slowness = k.inFlight, unheardSlowness
+	}
 	c.estimate = estimator.Estimate(s.workOf(w), estimator.State{
-		Running:  c.report.InFlight + since,
+		Running:  running,
 		Waiting:  c.report.Waiting,
 		Slots:    max(c.report.Slots, c.host.Slots),
-		Slowness: c.report.Slowness,
+		Slowness: slowness,
 		Failing:  s.reputation.Failing(now, c.host.ID),
 		Way:      s.wayTo(c.host.Region),
 		Ill:      c.report.Status >= http.StatusMultipleChoices,
@@ -400,7 +447,7 @@
 		Free:     true,
 		SendBy:   now.Add(sendWithin),
 		Class:    w.Class,
-		Slowness: c.report.Slowness,
-		Idle:     c.report.Loaded && c.report.InFlight < max(c.report.Slots, 1) && c.report.Waiting == 0,
+		Slowness: c.slowness(),
+		Idle:     c.hasFreeSlot(),
 	}, true
 }
--- a/poplarhook/services/surveyor/knowledge.go
+++ b/poplarhook/services/surveyor/knowledge.go
@@ -37,14 +37,14 @@
 
 // learn takes in a report of the endpoint.
 func (k *knowledge) learn(now time.Time, r report.Report) {
+	if r.ColdFor > 0 {
+		k.coldUntil = now.Add(r.ColdFor)
+	}
 	if !r.Loaded {
 		return
 	}
 	k.last = r
 	k.lastAt = now
-	if r.ColdFor > 0 {
-		k.coldUntil = now.Add(r.ColdFor)
-	}
 }
 
 func (k *knowledge) isCold(now time.Time) bool {
--- a/poplarhook/services/surveyor/surveyor.go
+++ b/poplarhook/services/surveyor/surveyor.go
@@ -14,6 +14,7 @@
 	"poplarhook.example/poplarhook/models/coldgate"
 	"poplarhook.example/poplarhook/models/estimator"
 	"poplarhook.example/poplarhook/models/group"
+	"poplarhook.example/poplarhook/models/lookbudget"
 	"poplarhook.example/poplarhook/models/report"
 	"poplarhook.example/poplarhook/models/reputation"
 )
@@ -36,14 +37,17 @@
 	self    string
 	region  string
 	sharers func(endpoint host.Host) (sharers int, included bool)
-	logger  *zap.Logger
-	counter func(event string)
+	// lookRate is how many looks a second this host may make, zero for no bound.
+	lookRate func() float64
+	logger   *zap.Logger
+	counter  func(event string)
 	// background is the context of looks, which outlast the requests that asked for them.
 	background context.Context
 
 	mu         sync.Mutex
 	random     *rand.Rand
 	known      map[string]*knowledge
+	looks      *lookbudget.Budget
 	gate       *coldgate.Gate
 	reputation *reputation.Reputation
 	estimator  *estimator.Estimator
@@ -68,6 +72,11 @@
 	return func(s *Surveyor) { s.sharers = sharers }
 }
 
+// WithLookRate sets how many looks a second this host may make.
+func WithLookRate(perSecond func() float64) Option {
+	return func(s *Surveyor) { s.lookRate = perSecond }
+}
+
 // WithLogger sets where choices are logged.
 func WithLogger(logger *zap.Logger) Option {
 	return func(s *Surveyor) { s.logger = logger }
@@ -92,6 +101,8 @@
 		counter:    func(string) {},
 		random:     rand.New(rand.NewPCG(1, 1)),
 		known:      make(map[string]*knowledge),
+		lookRate:   func() float64 { return 0 },
+		looks:      lookbudget.New(),
 		gate:       coldgate.New(),
 		reputation: reputation.New(),
 		estimator:  estimator.New(),
--- a/poplarhook/services/surveyor/surveyor_test.go
+++ b/poplarhook/services/surveyor/surveyor_test.go
@@ -188,6 +188,49 @@
 	c.Assert(bind(t, fresh).Endpoint.ID, qt.Equals, "left")
 }
 
+func TestEndpointsThatDoNotTellTheirLoadAreUsedInTurn(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for _, id := range []string{"a", "b", "c"} {
+		w.add(own, id, report.Report{Status: 200})
+		w.says[id] = report.Report{Status: 200}
+	}
+	s := newSurveyor(t, w)
+	seen := make(map[string]bool)
+	for range 3 {
+		seen[bind(t, s).Endpoint.ID] = true
+	}
+	c.Assert(seen, qt.HasLen, 3)
+}
+
+func TestLooksStayWithinTheirBudget(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		w.add(own, id, idle(1))
+	}
+	s := newSurveyor(t, w, surveyor.WithLookRate(func() float64 { return 5 }))
+	for range 100 {
+		bind(t, s)
+	}
+	looks := 0
+	w.mu.Lock()
+	for _, n := range w.looks {
+		looks += n
+	}
+	w.mu.Unlock()
+	c.Assert(looks <= 15, qt.IsTrue, qt.Commentf("%d looks in well under a second", looks))
+}
+
+func TestCallersOfFullEndpointsMayComeBackSoon(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld().add(own, "full", busy(2, 200))
+	_, err := newSurveyor(t, w).Bind(context.Background(), want())
+	var r *refusal.Refusal
+	c.Assert(errors.As(err, &r), qt.IsTrue)
+	c.Assert(r.RetryAfter <= time.Second, qt.IsTrue, qt.Commentf("%s", r.RetryAfter))
+}
+
 func TestAMisdirectedEndpointIsNotUsedUntilItIsListedAnew(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld().add(own, "was", idle(1))
