--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 GOLANGCI_LINT_VERSION := v2.15.0
 GOFUMPT_VERSION := v0.12.0
 DURATION ?= 10s
+SEEDS ?= 10
 export GOFLAGS := -buildvcs=false
 
 .PHONY: help
@@ -23,6 +24,10 @@
 race: ## Run the tests of the shared packages and the programs under the race detector
 	@for m in lib platform poplarbench poplarctl poplarhook standin; do (cd $$m && go test -race ./...) || exit 1; done
 
+.PHONY: soak
+soak: build ## Soak the gateways under SEEDS fresh seeds of random faults (default 10)
+	cd tests && SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 120m -v ./soak
+
 .PHONY: spec
 spec: ## Check the specifications with Spin, seeded faults included
 	bash spec/run.sh
