Judge two lengths by request and not by connection; ask samples only for fields that documents have

TestSamples asked samples and the page for two fields of classes that only the platform's configuration sets and no document can hold; it still asks for all others.

--- a/lib/validator/samples_test.go
+++ b/lib/validator/samples_test.go
@@ -39,6 +39,9 @@
 	for _, of := range []reflect.Type{reflect.TypeFor[document.Document](), reflect.TypeFor[class.Class]()} {
 		for i := range of.NumField() {
 			name, _, _ := strings.Cut(of.Field(i).Tag.Get("yaml"), ",")
+			if name == "-" {
+				continue // No document has the field.
+			}
 			qt.Check(t, strings.Contains(every.String(), name+":"), qt.IsTrue, qt.Commentf("no sample has %s", name))
 			qt.Check(t, strings.Contains(string(page), "| `"+name+"` |"), qt.IsTrue, qt.Commentf("the page lacks %s", name))
 		}
--- a/poplarhook/modules/screener/screener.go
+++ b/poplarhook/modules/screener/screener.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 )
@@ -38,10 +39,32 @@
 	return context.WithValue(ctx, contextKey{}, c)
 }
 
-// IsAmbiguous reports whether the request's connection has carried a head with two lengths.
+type verdictKey struct{}
+
+// Judge keeps for each request whether its own head, or an earlier one of its connection, had two lengths.
+//
+// Heads are read ahead of their requests, so the connection alone cannot tell
+// which of them the present one has.
+func Judge(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, screened := r.Context().Value(contextKey{}).(*conn); screened {
+			number := c.requests.Add(1)
+			first := c.firstAmbiguous.Load()
+			ambiguous := first > 0 && number >= first
+			r = r.WithContext(context.WithValue(r.Context(), verdictKey{}, ambiguous))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// IsAmbiguous reports whether the request was judged to have two lengths, or without a judgement whether its connection
+// has carried such a head.
 func IsAmbiguous(ctx context.Context) bool {
+	if ambiguous, judged := ctx.Value(verdictKey{}).(bool); judged {
+		return ambiguous
+	}
 	c, screened := ctx.Value(contextKey{}).(*conn)
-	return screened && c.ambiguous.Load()
+	return screened && c.firstAmbiguous.Load() > 0
 }
 
 var (
@@ -66,7 +89,10 @@
 // conn looks at the start of each line of a head and passes over bodies.
 type conn struct {
 	net.Conn
-	ambiguous atomic.Bool
+	// firstAmbiguous is the number of the first head with two lengths, from 1, zero while there was none.
+	firstAmbiguous atomic.Int64
+	// requests is how many requests of the connection were judged.
+	requests atomic.Int64
 
 	// The reader of the connection alone uses these.
 	part part
@@ -76,6 +102,8 @@
 	hasLength   bool
 	hasEncoding bool
 	length      int64
+	// heads is how many heads have ended.
+	heads int64
 }
 
 // Read reads from the connection and screens what was read.
@@ -145,7 +173,7 @@
 		c.hasEncoding = true
 	}
 	if c.hasLength && c.hasEncoding {
-		c.ambiguous.Store(true)
+		c.firstAmbiguous.CompareAndSwap(0, c.heads+1)
 	}
 }
 
@@ -157,6 +185,7 @@
 		c.part, c.left = inBody, c.length
 	}
 	c.hasLength, c.hasEncoding, c.length = false, false, 0
+	c.heads++
 }
 
 // crlf is how many bytes end a chunk.
--- a/poplarhook/services/entry/run.go
+++ b/poplarhook/services/entry/run.go
@@ -41,7 +41,7 @@
 	}
 	callers, stopCallers := context.WithCancel(background)
 	s := e.settings
-	callerServer := server.New(e.closing(e.callers),
+	callerServer := server.New(screener.Judge(e.closing(e.callers)),
 		server.WithMaxHeader(s.MaxHeader),
 		server.WithReadTimeout(s.ReadTimeout),
 		server.WithIdleTimeout(s.IdleTimeout),
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -36,7 +36,7 @@
 	}
 	limit := max(g.deployment.Load().Bounds.Stop()-drainNotice-stopReserve, stopReserve)
 	callers, stopCallers := context.WithCancel(background)
-	answered := server.New(g.closing(g.callers),
+	answered := server.New(screener.Judge(g.closing(g.callers)),
 		server.WithIdleTimeout(idleTimeout),
 		server.WithConnContext(screener.ConnContext),
 		server.WithDrainLimit(limit)).Run(callers, screener.New(g.listeners.Callers))
