--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -96,7 +96,7 @@
 	seen = seen.WithResult(d.clock().Sub(sentAt), err)
 	d.binder.Finish(b, seen)
 	d.logger.Warn("attempt failed", zap.String("request", j.ID), zap.String("endpoint", b.Endpoint.ID), zap.String("incarnation", b.Endpoint.Incarnation),
-		zap.Bool("unsent", seen.Unsent), zap.Bool("cancelled", seen.Cancelled), zap.Duration("took", seen.Latency), zap.String("error", err.Error()))
+		zap.Bool("unsent", seen.Unsent), zap.String("ended_by", endedBy(ctx)), zap.Duration("took", seen.Latency), zap.String("error", err.Error()))
 	if seen.Unsent {
 		d.counter("attempt_not_sent")
 		return errors.Wrapf(refusal.ErrNotRun, "endpoint %s: %v", b.Endpoint.ID, err)
@@ -110,6 +110,23 @@
 	return errors.Wrapf(refusal.ErrUnknown, "endpoint %s: %v", b.Endpoint.ID, err)
 }
 
+// errOvertaken says that the answer of another attempt was taken.
+var errOvertaken = errors.New("another attempt was quicker")
+
+// endedBy says who ended an attempt that brought no whole answer.
+func endedBy(ctx context.Context) string {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return "endpoint"
+	case errors.Is(cause, errOvertaken):
+		return "quicker_attempt"
+	case errors.Is(cause, context.DeadlineExceeded):
+		return "deadline"
+	default:
+		return "caller"
+	}
+}
+
 // readStart reads up to bufferSize bytes and reports whether that was the whole body.
 func readStart(body io.ReadCloser) (start []byte, whole bool, err error) {
 	start, err = io.ReadAll(io.LimitReader(body, bufferSize))
--- a/poplarhook/services/dispatcher/dispatcher.go
+++ b/poplarhook/services/dispatcher/dispatcher.go
@@ -163,7 +163,12 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.Until)
+	ctx, end := context.WithCancelCause(ctx)
+	ctx, stop := context.WithDeadline(ctx, j.Until)
+	cancel := func() {
+		end(errOvertaken)
+		stop()
+	}
 	if j.Class.IsOnceOnly() {
 		return d.dispatchOnce(ctx, cancel, j, w)
 	}
--- a/poplarhook/services/dispatcher/repeatable.go
+++ b/poplarhook/services/dispatcher/repeatable.go
@@ -38,7 +38,7 @@
 	// timer is that of the second attempt, nil until the first one has an endpoint.
 	timer *time.Timer
 	// yield ends the first attempt; led says that it has ended by itself, and yielded that another one answered before.
-	yield   context.CancelFunc
+	yield   context.CancelCauseFunc
 	led     bool
 	yielded bool
 	// over says that no further attempt may start.
@@ -101,7 +101,7 @@
 // lead makes the first attempt; its result does not count if another attempt answered before it ended.
 func (r *race) lead(ctx context.Context) (got result, counts bool) {
 	r.running, r.sends = 1, 1
-	first, yield := context.WithCancel(ctx)
+	first, yield := context.WithCancelCause(ctx)
 	r.yield = yield
 	got = r.attempt(first, r.wish, func(endpoint string) { r.arm(ctx, endpoint) })
 	r.mu.Lock()
@@ -109,7 +109,7 @@
 	yielded := r.yielded
 	r.mu.Unlock()
 	if got.err != nil {
-		yield()
+		yield(nil)
 	}
 	if !yielded {
 		return got, true
@@ -153,7 +153,7 @@
 	defer r.mu.Unlock()
 	if !r.led {
 		r.yielded = true
-		r.yield()
+		r.yield(errOvertaken)
 	}
 }
 
--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -208,7 +208,7 @@
 		return
 	}
 	f.lost = true
-	f.logger.Warn("store lost", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision),
+	f.logger.Warn("watch lost", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision),
 		zap.Duration("age", f.clock().Sub(f.view.HeardAt)), zap.String("error", err.Error()))
 }
 
@@ -217,5 +217,5 @@
 		return
 	}
 	f.lost = false
-	f.logger.Info("store regained", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision))
+	f.logger.Info("watch regained", zap.String("feed", f.name), zap.Int64("revision", f.view.Revision))
 }
