--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -15,39 +15,32 @@
 // ErrForgotten says that a source no longer knows the changes since a revision.
 var ErrForgotten = errors.New("changes are forgotten")
 
-// source lists and watches items; its error Is the one that WithForgotten names when the history is gone.
+// source lists and watches items; its errors are those that WithForgotten names, and others that pass.
 type source[T any] interface {
 	List(ctx context.Context) (map[string]T, int64, error)
 	Watch(ctx context.Context, revision int64, wait time.Duration) ([]change.Change[T], int64, error)
 }
 
-// shelf keeps the newest view.
+// shelf takes each newer view.
 type shelf[T any] interface {
-	Get() view.View[T]
 	Put(v view.View[T])
 }
 
 // Follower follows one source.
 type Follower[T any] struct {
-	name      string
-	source    source[T]
-	shelf     shelf[T]
-	clock     func() time.Time
-	wait      time.Duration
-	pause     time.Duration
-	forgotten error
-	forget    func()
-	listed    func(revision int64)
-	changed   func(changes int)
-	logger    *zap.Logger
+	options
+	name   string
+	source source[T]
+	shelf  shelf[T]
 
+	// view has revision zero until the items are listed, and again when their history is gone.
 	view view.View[T]
 	lost bool
 }
 
 const (
-	// defaultWait is how long a watch that hears nothing may hide that its history is gone.
-	defaultWait = 1200 * time.Millisecond
+	// defaultWait is the longest that the platform lets a watch wait, less a reserve.
+	defaultWait = 25 * time.Second
 	// callSlack is how much longer than its wait a call may take, a slow store included.
 	callSlack = time.Second
 	// firstBackoff and lastBackoff bound the pause after a failed call; the last stays well under the time that
@@ -67,7 +60,6 @@
 	forget    func()
 	listed    func(revision int64)
 	changed   func(changes int)
-	list      bool
 	logger    *zap.Logger
 }
 
@@ -76,11 +68,6 @@
 	return func(o *options) { o.wait = wait }
 }
 
-// WithList starts with a list, also when a view is known.
-func WithList() Option {
-	return func(o *options) { o.list = true }
-}
-
 // WithTally sets what is told the revision of each list, and how many changes each watch brought.
 func WithTally(listed func(revision int64), changed func(changes int)) Option {
 	return func(o *options) { o.listed, o.changed = listed, changed }
@@ -106,23 +93,19 @@
 	return func(o *options) { o.logger = logger }
 }
 
-// New returns a Follower that puts each new view on the shelf and starts from the one that lies there.
+// New returns a Follower that lists the items, then watches them, and puts each new view on the shelf.
 func New[T any](name string, s source[T], on shelf[T], opts ...Option) *Follower[T] {
-	o := options{
-		clock: time.Now, wait: defaultWait, forgotten: ErrForgotten, forget: func() {},
-		listed: func(int64) {}, changed: func(int) {}, logger: zap.NewNop(),
-	}
+	f := &Follower[T]{name: name, source: s, shelf: on, options: options{
+		clock:     time.Now,
+		wait:      defaultWait,
+		forgotten: ErrForgotten,
+		forget:    func() {},
+		listed:    func(int64) {},
+		changed:   func(int) {},
+		logger:    zap.NewNop(),
+	}}
 	for _, option := range opts {
-		option(&o)
-	}
-	f := &Follower[T]{
-		name: name, source: s, shelf: on,
-		clock: o.clock, wait: o.wait, pause: o.pause, forgotten: o.forgotten, forget: o.forget,
-		listed: o.listed, changed: o.changed, logger: o.logger,
-	}
-	f.view = on.Get()
-	if o.list {
-		f.view.Revision = 0
+		option(&f.options)
 	}
 	return f
 }
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -192,7 +192,6 @@
 		follower.WithForgotten(s.store.Forgotten, d.forget),
 		follower.WithWait(s.watchWait),
 		follower.WithTally(d.tally.listed, d.tally.changed),
-		follower.WithList(),
 	}
 	gathering := slices.Concat(options, []follower.Option{follower.WithPause(endpointsPause)})
 	ends := []<-chan error{
