Give lapsed entries a grace only after the store was away, and derive the times of the supply from the bounds

Cause, found by reading: a host that had lost only its source for half a second took that for an outage of the store, and kept endpoints in use for 1.9 s whose entries were rightly gone; with a change learned late that exceeds the time in which a leaving endpoint may be used. The classifier was built anew with each change of an endpoint.

--- a/lib/deployment/deployment.go
+++ b/lib/deployment/deployment.go
@@ -177,6 +177,16 @@
 	return time.Duration(b.StopS * float64(time.Second))
 }
 
+// Change returns the shortest time within which a change of any kind must be in force.
+func (b Bounds) Change() time.Duration {
+	return time.Duration(min(b.ConfigurationMS, b.LeavingMS, b.ZoneOutMS)) * time.Millisecond
+}
+
+// Leaving returns the time after which a leaving endpoint gets no request.
+func (b Bounds) Leaving() time.Duration {
+	return time.Duration(b.LeavingMS) * time.Millisecond
+}
+
 // RetryWindow returns the time over which repeated requests are counted.
 func (b Bounds) RetryWindow() time.Duration {
 	return time.Duration(b.RetryWindowS * float64(time.Second))
--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -17,6 +17,8 @@
 	Revision int64           `json:"revision,omitempty"`
 	Items    json.RawMessage `json:"items,omitempty"`
 	Changes  json.RawMessage `json:"changes,omitempty"`
+	// GraceMS is how much longer entries that lapsed while the store was away may come back, in milliseconds.
+	GraceMS int64 `json:"grace_ms,omitempty"`
 	// Lost says that the sender no longer hears the store.
 	Lost bool `json:"lost,omitempty"`
 }
--- a/poplarhook/models/lapsekeeper/lapsekeeper.go
+++ b/poplarhook/models/lapsekeeper/lapsekeeper.go
@@ -12,25 +12,26 @@
 // Endpoints cannot renew their entries while the store is away, so their
 // entries may be gone when it returns, for as long as they need to come back.
 type Keeper struct {
-	grace time.Duration
 	// until is when the grace after the store's last return ends.
 	until time.Time
 	kept  map[string]host.Host
 }
 
-// New returns a Keeper that gives lapsed entries the grace to come back after the store has returned.
-func New(grace time.Duration) *Keeper {
-	return &Keeper{grace: grace, kept: make(map[string]host.Host)}
+// New returns a Keeper that keeps nothing until there is a grace.
+func New() *Keeper {
+	return &Keeper{kept: make(map[string]host.Host)}
 }
 
-// Regained takes in that the store has returned.
-func (k *Keeper) Regained(now time.Time) {
-	k.until = now.Add(k.grace)
-}
+// sameGrace is how far two tellings of the same grace may lie apart, by the way of the message and the work of hosts.
+const sameGrace = 500 * time.Millisecond
 
-// Until returns when the grace ends.
-func (k *Keeper) Until() time.Time {
-	return k.until
+// Extend gives lapsed entries until the given time to come back, and reports whether that is another grace than before.
+func (k *Keeper) Extend(until time.Time) bool {
+	if until.Sub(k.until) < sameGrace {
+		return false
+	}
+	k.until = until
+	return true
 }
 
 // Use returns the endpoints to use, given those that were listed before and those that are listed now.
--- a/poplarhook/models/lapsekeeper/lapsekeeper_test.go
+++ b/poplarhook/models/lapsekeeper/lapsekeeper_test.go
@@ -32,11 +32,11 @@
 	c := qt.New(t)
 	start := time.Unix(0, 0)
 	before := listOf(at("1", host.StateLive), at("2", host.StateLive), at("3", host.StateLeaving))
-	k := lapsekeeper.New(2 * time.Second)
+	k := lapsekeeper.New()
 
 	c.Assert(ids(k.Use(start, before, listOf(at("1", host.StateLive)))), qt.DeepEquals, []string{"1"}, qt.Commentf("the store was not away"))
 
-	k.Regained(start)
+	c.Assert(k.Extend(start.Add(2*time.Second)), qt.IsTrue)
 	c.Assert(ids(k.Use(start, before, listOf(at("1", host.StateLive)))), qt.DeepEquals, []string{"1", "2"}, qt.Commentf("3 was leaving"))
 	now := start.Add(time.Second)
 	listed := listOf(at("1", host.StateLive))
@@ -47,8 +47,8 @@
 func TestAnAddressThatAnotherEndpointHasTakenIsNotUsed(t *testing.T) {
 	c := qt.New(t)
 	start := time.Unix(0, 0)
-	k := lapsekeeper.New(2 * time.Second)
-	k.Regained(start)
+	k := lapsekeeper.New()
+	c.Assert(k.Extend(start.Add(2*time.Second)), qt.IsTrue)
 	successor := at("1", host.StateLive)
 	successor.ID = "9"
 	c.Assert(ids(k.Use(start, listOf(at("1", host.StateLive)), listOf(successor))), qt.DeepEquals, []string{"9"})
--- a/poplarhook/services/broadcaster/broadcaster.go
+++ b/poplarhook/services/broadcaster/broadcaster.go
@@ -10,9 +10,6 @@
 	"poplarhook.example/poplarhook/models/frame"
 )
 
-// PulseInterval is the time between signs of life on a stream, a third of the silence that its reader bears.
-const PulseInterval = 350 * time.Millisecond
-
 const (
 	// queueLength is how many frames a slow reader may fall behind.
 	queueLength = 256
@@ -24,16 +21,21 @@
 type Broadcaster struct {
 	// whole returns frames that hold everything known.
 	whole func() []frame.Frame
-
-	mu      sync.Mutex
-	open    bool
-	lost    bool
-	readers map[chan frame.Frame]context.CancelFunc
+	pulse time.Duration
+	clock func() time.Time
+
+	mu   sync.Mutex
+	open bool
+	lost bool
+	// graceUntil is until when lapsed entries may come back.
+	graceUntil time.Time
+	readers    map[chan frame.Frame]context.CancelFunc
 }
 
-// New returns a Broadcaster that serves nobody until it is opened; whole gives everything known.
-func New(whole func() []frame.Frame) *Broadcaster {
-	return &Broadcaster{whole: whole, readers: make(map[chan frame.Frame]context.CancelFunc)}
+// New returns a Broadcaster that serves nobody until it is opened; whole gives everything known, and pulse is the time
+// between signs of life on a stream.
+func New(whole func() []frame.Frame, pulse time.Duration, clock func() time.Time) *Broadcaster {
+	return &Broadcaster{whole: whole, pulse: pulse, clock: clock, readers: make(map[chan frame.Frame]context.CancelFunc)}
 }
 
 // SetOpen starts to serve, or ends all streams.
@@ -60,6 +62,20 @@
 	}
 }
 
+// SetGrace tells readers until when entries that lapsed while the store was away may come back.
+func (b *Broadcaster) SetGrace(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.graceUntil = until
+}
+
+// graceLeft returns how much of the grace is left, zero without one.
+func (b *Broadcaster) graceLeft(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.graceUntil.Sub(now), 0)
+}
+
 // Send hands the frame to every reader; one that has fallen behind too far is cut off.
 func (b *Broadcaster) Send(f frame.Frame) {
 	b.mu.Lock()
@@ -93,7 +109,9 @@
 	writer := json.NewEncoder(w)
 	control := http.NewResponseController(w)
 	write := func(f frame.Frame) bool {
-		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		now := b.clock()
+		f.GraceMS = b.graceLeft(now).Milliseconds()
+		_ = control.SetWriteDeadline(now.Add(writeTimeout))
 		return writer.Encode(f) == nil && control.Flush() == nil
 	}
 	for _, f := range b.whole() {
@@ -116,7 +134,7 @@
 
 // pump writes frames as they come and signs of life in between.
 func (b *Broadcaster) pump(ctx context.Context, queue <-chan frame.Frame, write func(f frame.Frame) bool) {
-	ticker := time.NewTicker(PulseInterval)
+	ticker := time.NewTicker(b.pulse)
 	defer ticker.Stop()
 	for {
 		var f frame.Frame
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -62,7 +62,6 @@
 	// endpoints, configuration and zonesOut are what was last heard.
 	endpoints     view.View[host.Host]
 	lapses        *lapsekeeper.Keeper
-	lostAt        time.Time
 	used          map[string]host.Host
 	configuration snapshot.Snapshot
 	zonesOut      []string
@@ -93,14 +92,14 @@
 		places:    locator.New(d.Region),
 	}
 	g.deployment.Store(&d)
-	g.lapses = lapsekeeper.New(lapseGrace)
+	g.lapses = lapsekeeper.New()
 	alone := ranker.New(d.HostID)
 	g.region.Store(&alone)
 	g.sender = sender.New(
 		sender.WithClock(clock),
 		sender.WithEncoder(p.Dialect),
 		sender.WithAges(proofAge, reuseAge),
-		sender.WithShare(func() int { return connectionSharers }),
+		sender.WithShare(g.connectionSharers),
 		sender.WithExchange(exchanger.WithUnframed(), exchanger.WithSurplus(), exchanger.WithDialTimeout(dialTimeout)))
 	g.surveyor = surveyor.New(context.WithoutCancel(ctx), d.HostID, d.Region, g.places, asker{g},
 		surveyor.WithClock(clock),
@@ -141,8 +140,10 @@
 		Endpoints:     g.setEndpoints,
 		ZonesOut:      g.setZonesOut,
 		Members:       g.setMembers,
-		Heard:         g.setHeard,
-	}, supplier.WithSeeds(d.Seeds...), supplier.WithClock(clock), supplier.WithLogger(logger), supplier.WithCounter(g.meter.Count),
+		Heard:         func(heard bool) { g.heard.Store(heard) },
+		Grace:         g.setGrace,
+	}, supplier.WithSeeds(d.Seeds...), supplier.WithBound(d.Bounds.Change()),
+		supplier.WithLapseGrace(min(lapseGrace, d.Bounds.Leaving()*lapsePart/100)), supplier.WithClock(clock), supplier.WithLogger(logger), supplier.WithCounter(g.meter.Count),
 		supplier.WithHistory(time.Duration(d.HistoryS*float64(time.Second))))
 	return g
 }
@@ -156,8 +157,13 @@
 	reuseAge = 8 * time.Second
 	// dialTimeout bounds a new connection; the way to the farthest region takes some 25 ms.
 	dialTimeout = 250 * time.Millisecond
-	// connectionSharers is how many hosts are taken to share the connections that an endpoint accepts.
-	connectionSharers = 16
+	// minConnectionSharers is how many hosts are taken to share the connections that an endpoint accepts before the
+	// others are known.
+	minConnectionSharers = 16
+	// lapseGrace is within what time of the store's return entries come back, by the platform's page, less a reserve.
+	// lapsePart is the most of the time, in percent, that a leaving endpoint may still be used.
+	lapseGrace = 1900 * time.Millisecond
+	lapsePart  = 95
 	// retryShareUsed and retrySlackUsed keep repeats under the deployment's bound where hosts count differently.
 	retryShareUsed = 0.7
 	retrySlackUsed = 0.7
@@ -181,6 +187,11 @@
 	return len(sharers), slices.Contains(sharers, g.deployment.Load().HostID)
 }
 
+// connectionSharers returns how many hosts share the connections that an endpoint accepts.
+func (g *Gateway) connectionSharers() int {
+	return int(max(g.hosts.Load(), minConnectionSharers))
+}
+
 // probesUsed is the part of the allowed health checks that hosts use together.
 const probesUsed = 0.7
 
@@ -219,7 +230,8 @@
 			continue
 		}
 		g.configuration = one
-		g.apply()
+		g.applyConfiguration()
+		g.applyEndpoints()
 		g.logger.Info("configuration in force", zap.Int64("version", one.Revision), zap.Int64("store_revision", v.Revision),
 			zap.Int("classes", len(one.Documents[0].Classes)))
 	}
@@ -231,7 +243,7 @@
 	defer g.mu.Unlock()
 	g.used = g.lapses.Use(g.clock(), g.used, v.Items)
 	g.endpoints = v
-	g.apply()
+	g.applyEndpoints()
 	for _, c := range v.Changed {
 		g.logger.Info("endpoint changed", zap.String("endpoint", c.Name), zap.Bool("removed", c.Removed),
 			zap.String("state", c.Value.State), zap.String("incarnation", c.Value.Incarnation), zap.Int64("store_revision", v.Revision))
@@ -249,28 +261,20 @@
 	for zone := range v.Items {
 		g.zonesOut = append(g.zonesOut, zone)
 	}
-	g.apply()
+	g.applyConfiguration()
 	g.logger.Info("zones out", zap.Strings("zones", g.zonesOut), zap.Int64("store_revision", v.Revision))
 }
 
-// setHeard takes in whether the views are kept up to date.
-func (g *Gateway) setHeard(heard bool) {
-	if g.heard.Swap(heard) == heard {
-		return
-	}
+// setGrace keeps endpoints in use whose entries lapsed while the store was away, for as long as they may come back.
+func (g *Gateway) setGrace(left time.Duration) {
 	now := g.clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !heard {
-		g.lostAt = now
-		return
-	}
-	if g.lostAt.IsZero() || now.Sub(g.lostAt) < lapseAfter {
+	if !g.lapses.Extend(now.Add(left)) {
 		return
 	}
-	g.lapses.Regained(now)
-	time.AfterFunc(lapseGrace, g.endLapses)
-	g.logger.Info("lapsed endpoints may come back", zap.Duration("lost_for", now.Sub(g.lostAt)), zap.Duration("grace", lapseGrace))
+	time.AfterFunc(left, g.endLapses)
+	g.logger.Info("lapsed endpoints may come back", zap.Duration("grace", left))
 }
 
 // endLapses takes endpoints out of use that have not come back.
@@ -278,22 +282,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.used = g.lapses.Use(g.clock(), g.used, g.endpoints.Items)
-	g.apply()
+	g.applyEndpoints()
 }
 
-const (
-	// lapseAfter is how long the store must have been away for entries to lapse because of it: one heartbeat of an
-	// endpoint takes longer.
-	lapseAfter = 500 * time.Millisecond
-	// lapseGrace is within what time of the store's return entries come back, by the platform's page, less a reserve.
-	lapseGrace = 1900 * time.Millisecond
-)
-
-// apply joins what was heard; the lock is held.
-func (g *Gateway) apply() {
+// applyConfiguration puts the newest configuration and the zones that are out in force; the lock is held.
+func (g *Gateway) applyConfiguration() {
 	if g.configuration.Revision > 0 {
 		g.places.SetSnapshot(g.configuration.WithZonesOut(g.zonesOut...))
 	}
+}
+
+// applyEndpoints joins the endpoints with what is declared of their services; the lock is held.
+func (g *Gateway) applyEndpoints() {
 	d := directoryOf(g.endpoints.Revision, g.used, g.configuration)
 	g.places.SetDirectory(d)
 	g.listed.Store(int64(len(g.used)))
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -79,7 +79,7 @@
 	w.address, w.ready, w.admin = listeners.Callers.Addr().String(), listeners.Ready.Addr().String(), listeners.Admin.Addr().String()
 	d := deployment.Deployment{
 		HostID: "entry-1", Region: region, AvailabilityZone: zone, Address: "127.0.0.1", AdminPorts: []int{1, 2}, HistoryS: 20,
-		Bounds: deployment.Bounds{StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ColdFactor: 1.5},
+		Bounds: deployment.Bounds{ConfigurationMS: 2000, LeavingMS: 2000, ZoneOutMS: 5000, StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ColdFactor: 1.5},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := gateway.New(ctx, d, listeners, newPlatform(store.Listener.Addr().String()), meter.New("test"), zap.NewNop(), time.Now)
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -34,7 +34,9 @@
 		server.New(http.HandlerFunc(g.serveReady)).Run(background, g.listeners.Ready),
 		server.New(g.newAdmin()).Run(background, g.listeners.Admin),
 	}
-	limit := max(g.deployment.Load().Bounds.Stop()-drainNotice-stopReserve, stopReserve)
+	stopTime := g.deployment.Load().Bounds.Stop()
+	notice := min(drainNotice, stopTime/2)
+	limit := max(stopTime-notice-stopReserve, stopReserve)
 	callers, stopCallers := context.WithCancel(background)
 	answered := server.New(screener.Judge(g.closing(g.callers)),
 		server.WithIdleTimeout(idleTimeout),
@@ -44,8 +46,8 @@
 	go func() {
 		<-ctx.Done()
 		g.draining.Store(true)
-		g.logger.Info("stopping: no longer ready", zap.Duration("notice", drainNotice), zap.Duration("limit", limit))
-		_ = pauser.Pause(background, drainNotice)
+		g.logger.Info("stopping: no longer ready", zap.Duration("notice", notice), zap.Duration("limit", limit))
+		_ = pauser.Pause(background, notice)
 		stopCallers()
 		err := <-answered
 		stopSupply()
--- a/poplarhook/services/subscriber/subscriber.go
+++ b/poplarhook/services/subscriber/subscriber.go
@@ -24,12 +24,8 @@
 	ErrSilent = errors.New("stream fell silent")
 )
 
-const (
-	// silence is after what time without a line a stream counts as dead: three signs of life missed.
-	silence = 1100 * time.Millisecond
-	// dialTimeout bounds a new connection to a host of the own region.
-	dialTimeout = 250 * time.Millisecond
-)
+// dialTimeout bounds a new connection to a host of the own region.
+const dialTimeout = 250 * time.Millisecond
 
 // Path is where hosts serve streams, KnownPath where they tell once what they know.
 const (
@@ -39,13 +35,14 @@
 
 // Subscriber reads streams, one at a time.
 type Subscriber struct {
-	http *http.Client
+	http    *http.Client
+	silence time.Duration
 }
 
-// New returns a Subscriber.
-func New() *Subscriber {
+// New returns a Subscriber that gives a stream up after the silence.
+func New(silence time.Duration) *Subscriber {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Subscriber{http: &http.Client{Transport: &http.Transport{
+	return &Subscriber{silence: silence, http: &http.Client{Transport: &http.Transport{
 		DialContext:       dialer.DialContext,
 		DisableKeepAlives: true,
 	}}}
@@ -71,7 +68,7 @@
 func (s *Subscriber) read(ctx context.Context, url string, take func(f frame.Frame) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(silence, cancel)
+	watchdog := time.AfterFunc(s.silence, cancel)
 	defer watchdog.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
@@ -93,7 +90,7 @@
 		} else if err != nil {
 			return errors.Wrapf(ErrSilent, "%s: %v", url, err)
 		}
-		watchdog.Reset(silence)
+		watchdog.Reset(s.silence)
 		if err := handle(f, take); err != nil {
 			return errors.Wrapf(err, "%s", url)
 		}
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -15,23 +15,8 @@
 	"poplarhook.example/poplarhook/services/follower"
 )
 
-const (
-	// checkInterval is how often the store is asked for its revision. With checkTimeout, a second host's turn and a
-	// list it stays under the two seconds within which a configuration must be in force.
-	checkInterval = time.Second
-	// checkTimeout bounds one such question; a slow store takes some 300 ms.
-	checkTimeout = 600 * time.Millisecond
-	// checkRetry is the pause after a question that was not answered.
-	checkRetry = 250 * time.Millisecond
-	// checkRetryMax bounds that pause while the store stays away.
-	checkRetryMax = time.Second
-	// endpointsPause lets changes of endpoints gather, well under the time that a leaving one may still be used.
-	endpointsPause = 300 * time.Millisecond
-	// maxWatchWait is the longest that a watch waits; the check notices one that hears nothing.
-	maxWatchWait = 25 * time.Second
-	// settleTime is how long a watch may take to bring a change that the check has seen, the pause included.
-	settleTime = 700 * time.Millisecond
-)
+// maxWatchWait is the longest that a watch waits; the source's questions notice one that hears nothing.
+const maxWatchWait = 25 * time.Second
 
 // direct is one spell in which this host follows the store itself.
 type direct struct {
@@ -46,6 +31,8 @@
 	tally     tally
 	// behindSince is since when the store's revision is above what the watches account for, zero if it is not.
 	behindSince time.Time
+	// awaySince is since when the store answers no question, zero while it does.
+	awaySince time.Time
 }
 
 // follow follows the store until another host has taken over.
@@ -73,7 +60,7 @@
 // It returns when that host is heard no longer, or with the spell.
 func (s *Supplier) review(ctx, spell context.Context, end context.CancelFunc) {
 	for {
-		if pauser.Pause(spell, reviewInterval) != nil {
+		if pauser.Pause(spell, s.times.review) != nil {
 			return
 		}
 		if source := s.choose(); source.ID != s.self.ID {
@@ -84,19 +71,19 @@
 
 // check asks for the store's revision until the spell ends; its answer is also the list of the zones that are out.
 func (d *direct) check(ctx context.Context) {
-	retry := checkRetry
+	retry := d.s.times.retry
 	for ctx.Err() == nil {
-		pause := checkInterval
+		pause := d.s.times.interval
 		err := d.ask(ctx)
 		switch {
 		case err == nil:
 			d.hear(ctx)
-			retry = checkRetry
+			retry = d.s.times.retry
 		case ctx.Err() == nil:
 			d.miss(err)
 			d.s.askSeeds(ctx)
 			pause = retry
-			retry = min(2*retry, checkRetryMax)
+			retry = min(2*retry, d.s.times.retryMax)
 		}
 		d.pause(ctx, pause)
 	}
@@ -117,7 +104,7 @@
 
 // ask lists the zones that are out and compares the store's revision with what the watches brought.
 func (d *direct) ask(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.s.times.timeout)
 	defer cancel()
 	items, revision, err := d.s.store.ZonesOut.List(ctx)
 	if err != nil {
@@ -148,7 +135,7 @@
 		d.behindSince = now
 		return
 	}
-	if now.Sub(d.behindSince) < settleTime {
+	if now.Sub(d.behindSince) < d.s.times.settle {
 		return
 	}
 	d.s.logger.Warn("the store is ahead of its watches, listing anew", zap.Int64("store_revision", revision), zap.Int64("accounted", d.tally.accounted()))
@@ -168,9 +155,14 @@
 		d.s.heard(false)
 	}
 	d.s.broadcaster.SetLost(true)
+	if d.awaySince.IsZero() {
+		d.awaySince = d.s.clock()
+	}
 }
 
 func (d *direct) hear(ctx context.Context) {
+	d.s.returned(d.awaySince)
+	d.awaySince = time.Time{}
 	if !d.heard.Swap(true) {
 		d.s.logger.Info("store heard", zap.Int64("revision", d.newest()))
 	}
@@ -193,7 +185,7 @@
 		follower.WithWait(s.watchWait),
 		follower.WithTally(d.tally.listed, d.tally.changed),
 	}
-	gathering := slices.Concat(options, []follower.Option{follower.WithPause(endpointsPause)})
+	gathering := slices.Concat(options, []follower.Option{follower.WithPause(s.times.gather)})
 	ends := []<-chan error{
 		follower.New(feedConfiguration, s.store.Configurations, s.configuration, options...).Run(ctx),
 		follower.New(feedEndpoints, s.store.Endpoints, s.endpoints, gathering...).Run(ctx),
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -54,6 +54,8 @@
 	Members       func(v view.View[host.Host])
 	// Heard is called with whether this host's views are kept up to date.
 	Heard func(heard bool)
+	// Grace is called with how much longer entries that lapsed while the store was away may come back.
+	Grace func(left time.Duration)
 }
 
 // Supplier keeps the views of one host.
@@ -66,8 +68,11 @@
 	broadcaster *broadcaster.Broadcaster
 	subscriber  *subscriber.Subscriber
 	heard       func(heard bool)
+	grace       func(left time.Duration)
 	watchWait   time.Duration
 	seeds       []string
+	times       times
+	lapseGrace  time.Duration
 
 	configuration *shelf.Shelf[snapshot.Snapshot]
 	endpoints     *shelf.Shelf[host.Host]
@@ -90,8 +95,6 @@
 	firstPenalty = 2 * time.Second
 	lastPenalty  = 30 * time.Second
 	maxFailures  = 2
-	// reviewInterval is how often a host that follows the store looks whether another one should do so for it.
-	reviewInterval = time.Second
 )
 
 // Option changes how a Supplier is built.
@@ -117,6 +120,16 @@
 	return func(s *Supplier) { s.watchWait = min(history/2, maxWatchWait) }
 }
 
+// WithBound sets within what time a change must be known here.
+func WithBound(bound time.Duration) Option {
+	return func(s *Supplier) { s.times = timesFor(bound) }
+}
+
+// WithLapseGrace sets for how long entries may come back after the store's return.
+func WithLapseGrace(grace time.Duration) Option {
+	return func(s *Supplier) { s.lapseGrace = grace }
+}
+
 // WithSeeds names the peer addresses of hosts to ask while neither the store nor any other host is known.
 func WithSeeds(addresses ...string) Option {
 	return func(s *Supplier) { s.seeds = addresses }
@@ -125,20 +138,22 @@
 // New returns a Supplier of the host that hands each newer view to the hooks.
 func New(self host.Host, store Store, hooks Hooks, options ...Option) *Supplier {
 	s := &Supplier{
-		self:       self,
-		store:      store,
-		clock:      time.Now,
-		logger:     zap.NewNop(),
-		counter:    func(string) {},
-		subscriber: subscriber.New(),
-		heard:      hooks.Heard,
-		watchWait:  maxWatchWait,
-		penalties:  make(map[string]penalty),
+		self:      self,
+		store:     store,
+		clock:     time.Now,
+		logger:    zap.NewNop(),
+		counter:   func(string) {},
+		heard:     hooks.Heard,
+		grace:     hooks.Grace,
+		times:     timesFor(reference),
+		watchWait: maxWatchWait,
+		penalties: make(map[string]penalty),
 	}
 	for _, option := range options {
 		option(s)
 	}
-	s.broadcaster = broadcaster.New(s.whole)
+	s.subscriber = subscriber.New(s.times.silence)
+	s.broadcaster = broadcaster.New(s.whole, s.times.pulse, s.clock)
 	s.configuration = shelf.New(hooks.Configuration, tell[snapshot.Snapshot](s, feedConfiguration))
 	s.endpoints = shelf.New(hooks.Endpoints, tell[host.Host](s, feedEndpoints))
 	s.zonesOut = shelf.New(hooks.ZonesOut, tell[json.RawMessage](s, feedZonesOut))
@@ -236,7 +251,7 @@
 	if len(s.members.Get().Items) > 1 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.times.timeout)
 	defer cancel()
 	items, revision, err := s.store.Members.List(ctx)
 	if err != nil {
@@ -304,22 +319,15 @@
 	return !first
 }
 
-const (
-	// servingTime is how long a host that does not serve yet is asked again: when the source before it dies, it
-	// notices that as late as this one and then needs an answer of the store.
-	servingTime = 400 * time.Millisecond
-	servingStep = 80 * time.Millisecond
-)
-
 // subscribe reads the stream of a host, waiting for a short time until it serves.
 func (s *Supplier) subscribe(ctx context.Context, source host.Host, take func(f frame.Frame) error) error {
-	until := s.clock().Add(servingTime)
+	until := s.clock().Add(s.times.serving)
 	for {
 		err := s.subscriber.Read(ctx, source.PeerAddress, take)
 		if !errors.Is(err, subscriber.ErrNotServing) || !s.clock().Before(until) {
 			return err
 		}
-		if pauser.Pause(ctx, servingStep) != nil {
+		if pauser.Pause(ctx, s.times.servingStep) != nil {
 			return err
 		}
 	}
@@ -332,9 +340,29 @@
 	s.failures = 0
 }
 
-// take puts the view of a frame on its shelf.
+// lapseAfter is how long the store must have been away for entries to lapse because of it: endpoints renew them less
+// often than that.
+const lapseAfter = 500 * time.Millisecond
+
+// returned takes in that the store answers again since the given time, zero for one that was not away.
+//
+// The source of a region tells the others, since a host that lost only its
+// source cannot know whether the store was away too.
+func (s *Supplier) returned(awaySince time.Time) {
+	now := s.clock()
+	if awaySince.IsZero() || now.Sub(awaySince) < lapseAfter || s.lapseGrace <= 0 {
+		return
+	}
+	s.broadcaster.SetGrace(now.Add(s.lapseGrace))
+	s.grace(s.lapseGrace)
+}
+
+// take puts the view of a frame on its shelf; a grace counts before what the frame leaves out.
 func (s *Supplier) take(f frame.Frame) error {
 	now := s.clock()
+	if f.GraceMS > 0 {
+		s.grace(time.Duration(f.GraceMS) * time.Millisecond)
+	}
 	switch f.Feed {
 	case feedConfiguration:
 		return put(s.configuration, f, now)
--- a/poplarhook/services/supplier/supplier_test.go
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -39,6 +39,8 @@
 	id     string
 	stop   func()
 	server *httptest.Server
+	// supplier is what the host runs.
+	supplier *supplier.Supplier
 
 	mu       sync.Mutex
 	refused  bool
@@ -46,6 +48,7 @@
 	zonesOut int
 	items    map[string]host.Host
 	heard    bool
+	graces   int
 }
 
 func (e *entryHost) version() int64 {
@@ -125,7 +128,8 @@
 		Members:        feed.Members(calls, skipped),
 		Register:       feed.Register(calls),
 		Forgotten:      feed.ErrForgotten,
-	}, e.hooks(), supplier.WithSeeds(seeds...))
+	}, e.hooks(), supplier.WithSeeds(seeds...), supplier.WithLapseGrace(1900*time.Millisecond))
+	e.supplier = s
 	router := http.NewServeMux()
 	router.HandleFunc(subscriber.KnownPath, s.Broadcaster().ServeKnown)
 	router.Handle(subscriber.Path, s.Broadcaster())
@@ -170,6 +174,11 @@
 			defer e.mu.Unlock()
 			e.heard = heard
 		},
+		Grace: func(time.Duration) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.graces++
+		},
 	}
 }
 
@@ -186,6 +195,25 @@
 	})
 }
 
+// settle waits until one host follows the store and all others read from it.
+func (w *world) settle() {
+	w.t.Helper()
+	awaiter.New(5*time.Millisecond).Await(w.t, 10*time.Second, "one host follows the store for all", func() bool {
+		for _, e := range w.hosts {
+			if e.supplier.Broadcaster().Readers() == len(w.hosts)-1 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (e *entryHost) hadGrace() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.graces > 0
+}
+
 func hasVersion(version int64) func(e *entryHost) bool {
 	return func(e *entryHost) bool { return e.version() == version }
 }
@@ -205,7 +233,7 @@
 	w := newWorld(t, 8)
 	w.all(10*time.Second, "the first configuration", hasVersion(1))
 	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-	time.Sleep(2500 * time.Millisecond)
+	w.settle()
 	before := w.store.Calls("watch") + w.store.Calls("list")
 	for version := int64(2); version <= 6; version++ {
 		w.configure(version)
@@ -221,7 +249,7 @@
 func TestAChangeIsKnownInTimeWhenAnyHostDies(t *testing.T) {
 	w := newWorld(t, 4)
 	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-	time.Sleep(1500 * time.Millisecond)
+	w.settle()
 	version := int64(1)
 	for len(w.hosts) > 1 {
 		w.drop(w.hosts[0])
@@ -256,10 +284,39 @@
 	w.all(bound, "a configuration from during the outage", hasVersion(2))
 }
 
+func TestEveryHostLearnsOfTheGraceAfterAnOutage(t *testing.T) {
+	w := newWorld(t, 3)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.settle()
+	w.store.SetDown(true)
+	w.all(5*time.Second, "the loss of the store is noticed", func(e *entryHost) bool { return !e.isHeard() })
+	downAt := time.Now()
+	awaiter.New(5*time.Millisecond).Await(t, 5*time.Second, "the outage is long enough for entries to lapse", func() bool {
+		return time.Since(downAt) > 600*time.Millisecond
+	})
+	w.store.SetDown(false)
+	w.all(bound, "every host gives lapsed entries a grace", (*entryHost).hadGrace)
+}
+
+// Entries that vanish while only the source was lost are gone: a grace would keep endpoints in use for too long.
+func TestTheLossOfTheSourceGivesNoGrace(t *testing.T) {
+	w := newWorld(t, 4)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.settle()
+	version := int64(1)
+	for len(w.hosts) > 1 {
+		w.drop(w.hosts[0])
+		version++
+		w.configure(version)
+		w.all(bound, "a configuration after a host has died", hasVersion(version))
+	}
+	qt.Assert(t, w.hosts[0].hadGrace(), qt.IsFalse)
+}
+
 func TestHostsThatTheStoreTurnsAwayLearnFromOthers(t *testing.T) {
 	w := newWorld(t, 3)
 	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-	time.Sleep(1500 * time.Millisecond)
+	w.settle()
 	version := int64(1)
 	for _, refused := range w.hosts {
 		refused.refuse(true)
