--- a/lib/pacer/pacer_test.go
+++ b/lib/pacer/pacer_test.go
@@ -12,14 +12,22 @@
 
 var start = time.Unix(1000, 0)
 
+// forMessages draws messages of up to 200 bytes, up to 20 ms apart.
+func forMessages(t *rapid.T, each func(at time.Time, bytes int)) {
+	at := start
+	for range rapid.IntRange(1, 300).Draw(t, "messages") {
+		at = at.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Millisecond)).Draw(t, "gap")))
+		each(at, rapid.IntRange(1, 200).Draw(t, "bytes"))
+	}
+}
+
 func TestBudgetIsHard(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		budget := rapid.Int64Range(100, 100_000).Draw(t, "budget")
 		p := pacer.New(budget)
 		now, spent := start, 0.0
-		for range rapid.IntRange(1, 300).Draw(t, "messages") {
-			now = now.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Millisecond)).Draw(t, "gap")))
-			bytes := rapid.IntRange(1, 200).Draw(t, "bytes")
+		forMessages(t, func(at time.Time, bytes int) {
+			now = at
 			wait := p.Wait(now, bytes)
 			allowed := p.Allow(now, bytes)
 			if allowed != (wait == 0) {
@@ -31,7 +39,7 @@
 			if most := float64(budget) * (now.Sub(start).Seconds() + 0.5); spent > most+1e-6 {
 				t.Fatalf("spent %v of %v", spent, most)
 			}
-		}
+		})
 	})
 }
 
@@ -40,9 +48,8 @@
 		budget := rapid.Int64Range(512, 100_000).Draw(t, "budget")
 		p := pacer.New(budget)
 		now, spent := start, 0.0
-		for range rapid.IntRange(1, 300).Draw(t, "messages") {
-			now = now.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Millisecond)).Draw(t, "gap")))
-			bytes := rapid.IntRange(1, 200).Draw(t, "bytes")
+		forMessages(t, func(at time.Time, bytes int) {
+			now = at
 			wait := p.Wait(now, bytes)
 			switch {
 			case rapid.Bool().Draw(t, "charged"):
@@ -57,7 +64,7 @@
 			if spent > most+1e-6 {
 				t.Fatalf("spent %v of %v", spent, most)
 			}
-		}
+		})
 		p.Charge(now, 1<<20)
 		if p.Spending().OverspentBytes == 0 {
 			t.Fatal("nothing overspent")
