--- a/lib/deployment/deployment.go
+++ b/lib/deployment/deployment.go
@@ -33,7 +33,6 @@
 	StoreAddress string `json:"store_address"`
 	// HistoryS is for how long the store keeps changes, in seconds.
 	HistoryS float64 `json:"history_s"`
-	MemoryMB int     `json:"memory_mb"`
 	// Processor is the share of a processor core that the host has, Link the bandwidth of its link in Mbit/s.
 	Processor float64 `json:"processor"`
 	Link      float64 `json:"link_mbps"`
@@ -54,9 +53,8 @@
 	RetryShare   float64 `json:"retry_share"`
 	RetrySlack   float64 `json:"retry_slack"`
 	RetryWindowS float64 `json:"retry_window_s"`
-	// ColdFactor and ColdSlack bound the requests of a cold endpoint in a second: declared rate times factor plus slack.
-	ColdFactor float64 `json:"cold_factor"`
-	ColdSlack  float64 `json:"cold_slack"`
+	// ColdSlack is how many requests beyond its declared rate a cold endpoint may get in a second, over all hosts.
+	ColdSlack float64 `json:"cold_slack"`
 	// ProbesPerSecond bounds the health checks of one endpoint over all hosts.
 	ProbesPerSecond float64 `json:"probes_per_second"`
 }
@@ -177,6 +175,11 @@
 	return time.Duration(b.StopS * float64(time.Second))
 }
 
+// History returns for how long the store keeps changes.
+func (d Deployment) History() time.Duration {
+	return time.Duration(d.HistoryS * float64(time.Second))
+}
+
 // Change returns the shortest time within which a change of any kind must be in force.
 func (b Bounds) Change() time.Duration {
 	return time.Duration(min(b.ConfigurationMS, b.LeavingMS, b.ZoneOutMS)) * time.Millisecond
--- a/lib/deployment/deployment_test.go
+++ b/lib/deployment/deployment_test.go
@@ -14,9 +14,9 @@
 const proper = `{
   "host_id": "entry-1", "region": "r", "availability_zone": "z", "regions": {"z": "r"}, "address": "10.0.0.1",
   "listen": "10.0.0.1:80", "ready_listen": "10.0.0.1:81", "peer_listen": "10.0.0.1:82", "seeds": ["10.0.0.1:82"], "admin_ports": [7600, 7615], "store_address": "10.9.0.1:90",
-  "history_s": 20, "memory_mb": 284, "later": {"field": 1},
+  "history_s": 20, "later": {"field": 1},
   "bounds": {"configuration_ms": 2000, "leaving_ms": 2000, "zone_out_ms": 5000, "stop_s": 6, "retry_share": 0.2,
-    "retry_slack": 58, "retry_window_s": 10, "cold_factor": 1.5, "cold_slack": 5, "probes_per_second": 60}
+    "retry_slack": 58, "retry_window_s": 10, "cold_slack": 5, "probes_per_second": 60}
 }`
 
 func TestProperSettings(t *testing.T) {
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -40,7 +40,7 @@
 	clock      func() time.Time
 	classifier func() classifier
 	dispatcher dispatcher
-	maxBody    int64
+	maxBody    func() int64
 	places     chan struct{}
 	// isAmbiguous says that the request's length was declared in two ways.
 	isAmbiguous func(ctx context.Context) bool
@@ -83,6 +83,11 @@
 
 // WithMaxBody sets the largest body of a request in bytes.
 func WithMaxBody(bytes int64) Option {
+	return WithBodyLimit(func() int64 { return bytes })
+}
+
+// WithBodyLimit sets the source of the largest body of a request in bytes, for a limit that configurations change.
+func WithBodyLimit(bytes func() int64) Option {
 	return func(c *Caller) { c.maxBody = bytes }
 }
 
@@ -114,7 +119,7 @@
 	c := &Caller{
 		clock:      time.Now,
 		dispatcher: d,
-		maxBody:    defaultMaxBody,
+		maxBody:    func() int64 { return defaultMaxBody },
 		places:     make(chan struct{}, defaultMaxRequests),
 		counter:    func(string, string, time.Duration) {},
 		dialect:    ownDialect{},
@@ -142,12 +147,12 @@
 	case c.places <- struct{}{}:
 		defer func() { <-c.places }()
 	default:
-		c.refuse(w, job.Job{Arrived: arrived}, refusal.NotRun(http.StatusServiceUnavailable, "too many requests are under way on this host").WithRetryAfter(time.Second))
+		c.refuse(w, r, job.Job{Arrived: arrived}, refusal.NotRun(http.StatusServiceUnavailable, "too many requests are under way on this host").WithRetryAfter(time.Second))
 		return
 	}
 	j, err := c.read(w, r, arrived)
 	if err != nil {
-		c.refuse(w, j, err)
+		c.refuse(w, r, j, err)
 		return
 	}
 	a, err := c.dispatcher.Dispatch(r.Context(), j)
@@ -156,7 +161,8 @@
 			zap.Duration("took", c.clock().Sub(arrived)))
 	}
 	if err != nil {
-		c.refuse(w, j, err)
+		// Also to a caller that has left, who may have closed only its own half of the connection.
+		c.refuse(w, r, j, err)
 		return
 	}
 	defer a.Close()
@@ -186,7 +192,7 @@
 		return j, refusal.NotRun(http.StatusNotFound, err.Error())
 	}
 	j.Class, j.Team = c.divider(found), team
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.maxBody()))
 	if err != nil {
 		return j, bodyRefusal(err)
 	}
@@ -209,8 +215,8 @@
 	if len(r.Header.Values(HeaderRequestID)) > 1 || len(r.Header.Get(HeaderRequestID)) > maxRequestID {
 		return refusal.NotRun(http.StatusBadRequest, "X-Request-Id must be given once, with at most 128 bytes")
 	}
-	if r.ContentLength > c.maxBody {
-		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body is over "+strconv.FormatInt(c.maxBody, 10)+" bytes")
+	if most := c.maxBody(); r.ContentLength > most {
+		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body is over "+strconv.FormatInt(most, 10)+" bytes")
 	}
 	return nil
 }
--- a/poplarhook/routers/caller/write.go
+++ b/poplarhook/routers/caller/write.go
@@ -26,7 +26,7 @@
 }
 
 // refuse answers with problem details that say whether the request may have run.
-func (c *Caller) refuse(w http.ResponseWriter, j job.Job, err error) {
+func (c *Caller) refuse(w http.ResponseWriter, request *http.Request, j job.Job, err error) {
 	var r *refusal.Refusal
 	if !errors.As(err, &r) {
 		r = refusal.Unknown(err.Error())
@@ -35,7 +35,8 @@
 	c.counter(r.Outcome, j.Class.Name, took)
 	c.logger.Warn("request refused", zap.String("request", j.ID), zap.String("class", j.Class.Name), zap.String("service", j.Class.Service),
 		zap.Int("status", r.Status), zap.String("outcome", r.Outcome), zap.String("reason", r.Reason), zap.Duration("took", took),
-		zap.Duration("left", j.Until.Sub(j.Arrived)-took), zap.Duration("retry_after", r.RetryAfter))
+		zap.Duration("left", j.Until.Sub(j.Arrived)-took), zap.Duration("retry_after", r.RetryAfter),
+		zap.Bool("caller_left", request.Context().Err() != nil))
 	body, err := json.Marshal(problem{
 		Type:      "about:blank",
 		Title:     http.StatusText(r.Status),
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -80,7 +80,7 @@
 	w.address, w.ready, w.admin = listeners.Callers.Addr().String(), listeners.Ready.Addr().String(), listeners.Admin.Addr().String()
 	d := deployment.Deployment{
 		HostID: "entry-1", Region: region, AvailabilityZone: zone, Address: "127.0.0.1", AdminPorts: []int{1, 2}, HistoryS: 20,
-		Bounds: deployment.Bounds{ConfigurationMS: 2000, LeavingMS: 2000, ZoneOutMS: 5000, StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ColdFactor: 1.5},
+		Bounds: deployment.Bounds{ConfigurationMS: 2000, LeavingMS: 2000, ZoneOutMS: 5000, StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := gateway.New(ctx, d, listeners, newPlatform(store.Listener.Addr().String()), meter.New("test"), zap.NewNop(), time.Now)
@@ -255,6 +255,16 @@
 	c.Assert(w.send(http.MethodGet, "/lookup/deeper", "r5", "").status, qt.Equals, 200)
 }
 
+func TestTheConfigurationBoundsBodies(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := configured(t, 1)
+	const allowed = 1 << 20 // as imitator.Store.PutConfiguration says
+	c.Assert(w.send(http.MethodPost, "/order/1", "fits", strings.Repeat("x", allowed)).status, qt.Equals, 200)
+	c.Assert(w.send(http.MethodPost, "/order/1", "large", strings.Repeat("x", allowed+1)).status, qt.Equals, 413)
+	c.Assert(w.runs("large"), qt.HasLen, 0)
+}
+
 func TestTroubleOfEndpoints(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -169,34 +169,40 @@
 // tell returns a hook that sends each newer view to the readers.
 func tell[T any](s *Supplier, feed string) func(v view.View[T]) {
 	return func(v view.View[T]) {
-		f, err := frame.New(feed, v)
-		if err != nil {
-			s.logger.Error("view cannot be told", zap.String("feed", feed), zap.String("error", err.Error()))
-			return
+		if f, encoded := newFrame(s, feed, v); encoded {
+			s.broadcaster.Send(f)
 		}
-		s.broadcaster.Send(f)
 	}
 }
 
 // whole returns everything known as frames.
 func (s *Supplier) whole() []frame.Frame {
 	var frames []frame.Frame
-	frames = appendWhole(frames, feedMembers, s.members.Get())
-	frames = appendWhole(frames, feedZonesOut, s.zonesOut.Get())
-	frames = appendWhole(frames, feedEndpoints, s.endpoints.Get())
-	return appendWhole(frames, feedConfiguration, s.configuration.Get())
+	frames = appendWhole(s, frames, feedMembers, s.members.Get())
+	frames = appendWhole(s, frames, feedZonesOut, s.zonesOut.Get())
+	frames = appendWhole(s, frames, feedEndpoints, s.endpoints.Get())
+	return appendWhole(s, frames, feedConfiguration, s.configuration.Get())
 }
 
-func appendWhole[T any](frames []frame.Frame, feed string, v view.View[T]) []frame.Frame {
+func appendWhole[T any](s *Supplier, frames []frame.Frame, feed string, v view.View[T]) []frame.Frame {
 	if v.Revision == 0 {
 		return frames
 	}
 	v.Changed = nil
+	if f, encoded := newFrame(s, feed, v); encoded {
+		frames = append(frames, f)
+	}
+	return frames
+}
+
+// newFrame returns the frame of a view and whether it could be encoded.
+func newFrame[T any](s *Supplier, feed string, v view.View[T]) (frame.Frame, bool) {
 	f, err := frame.New(feed, v)
 	if err != nil {
-		return frames
+		s.logger.Error("view cannot be told", zap.String("feed", feed), zap.String("error", err.Error()))
+		return frame.Frame{}, false
 	}
-	return append(frames, f)
+	return f, true
 }
 
 // Run keeps the views up to date until the context ends; the channel gives the end.
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -186,10 +186,10 @@
 	e.settings = deployment.Deployment{
 		HostID: fmt.Sprintf("entry-%d-%d", z, i), AvailabilityZone: zoneName(z), Region: regions[zoneName(z)], Regions: regions,
 		Address: "127.0.0.1", Listen: at(ports[0]), ReadyListen: at(ports[1]), PeerListen: at(ports[2]), AdminPorts: []int{ports[3], ports[3] + 1}, StoreAddress: e.way.Address(),
-		HistoryS: 20, MemoryMB: 284, Processor: 0.3, Link: 100,
+		HistoryS: 20, Processor: 0.3, Link: 100,
 		Bounds: deployment.Bounds{
 			ConfigurationMS: bound.Milliseconds(), LeavingMS: 2000, ZoneOutMS: zoneOutBound.Milliseconds(), StopS: 6,
-			RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdFactor: 1.5, ColdSlack: 5, ProbesPerSecond: 60,
+			RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5, ProbesPerSecond: 60,
 		},
 	}
 	for _, other := range w.entries[:min(len(w.entries), 2)] {
