Tell others of an endpoint only what is new

Cause: an endpoint that is cold writes with each heartbeat how much longer it will be. That raised an event, a new view, a line to every host of the region, a rebuilt directory and a log line on each of them, though the end of its coldness stayed the same. Change: the shelf drops changes that say nothing new (host.IsSame, ends of coldness within 200 ms), and raises the revision.

--- a/lib/host/host.go
+++ b/lib/host/host.go
@@ -45,3 +45,25 @@
 	h.State = state
 	return h
 }
+
+// coldTolerance is how far two tellings of the end of coldness may lie apart and still be the same: each telling is
+// late by the way of a heartbeat through the store.
+const coldTolerance = 200 * time.Millisecond
+
+// IsSame reports whether the other telling of a host says nothing new at the given time.
+//
+// An endpoint that is cold tells with each heartbeat how much longer; the end
+// that this gives stays the same.
+func (h Host) IsSame(now time.Time, other Host) bool {
+	before, after := h.coldEnd(now), other.coldEnd(now)
+	h.ColdUntil, other.ColdUntil = time.Time{}, time.Time{}
+	return h == other && before.Sub(after).Abs() <= coldTolerance
+}
+
+// coldEnd returns when coldness ends, the present for a host that is not cold.
+func (h Host) coldEnd(now time.Time) time.Time {
+	if h.ColdUntil.Before(now) {
+		return now
+	}
+	return h.ColdUntil
+}
--- a/poplarhook/services/shelf/shelf.go
+++ b/poplarhook/services/shelf/shelf.go
@@ -2,26 +2,38 @@
 
 import (
 	"sync"
+	"time"
 
+	"poplarhook.example/lib/change"
 	"poplarhook.example/poplarhook/models/view"
 )
 
 // Shelf holds one view, safe for concurrent use.
 type Shelf[T any] struct {
+	// isSame tells whether an item's new value says nothing new.
+	isSame func(now time.Time, before, after T) bool
+
 	mu     sync.Mutex
 	view   view.View[T]
 	notify []func(v view.View[T])
 }
 
-// New returns a Shelf without a view that calls each hook with every newer one, in order.
-func New[T any](hooks ...func(v view.View[T])) *Shelf[T] {
-	return &Shelf[T]{notify: hooks}
+// New returns a Shelf without a view that calls each hook with every newer one, in order; isSame tells whether an item's
+// new value says nothing new, nil for kinds of which every change is news.
+func New[T any](isSame func(now time.Time, before, after T) bool, hooks ...func(v view.View[T])) *Shelf[T] {
+	return &Shelf[T]{isSame: isSame, notify: hooks}
 }
 
-// Put takes in a view unless a newer one is known.
+// Put takes in a view unless a newer one is known; changes that say nothing new are left out.
 func (s *Shelf[T]) Put(v view.View[T]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if v.Changed != nil && s.isSame != nil {
+		if v.Changed = s.news(v); len(v.Changed) == 0 {
+			s.view.Revision = max(s.view.Revision, v.Revision)
+			return
+		}
+	}
 	next, newer := s.view.Merge(v)
 	if !newer {
 		return
@@ -38,3 +50,18 @@
 	defer s.mu.Unlock()
 	return s.view
 }
+
+// news returns the changes that say something new; the lock is held.
+func (s *Shelf[T]) news(v view.View[T]) []change.Change[T] {
+	news := make([]change.Change[T], 0, len(v.Changed))
+	for _, c := range v.Changed {
+		before, known := s.view.Items[c.Name]
+		switch {
+		case c.Removed && !known:
+		case !c.Removed && known && s.isSame(v.HeardAt, before, c.Value):
+		default:
+			news = append(news, c)
+		}
+	}
+	return news
+}
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -154,13 +154,17 @@
 	}
 	s.subscriber = subscriber.New(s.times.silence)
 	s.broadcaster = broadcaster.New(s.whole, s.times.pulse, s.clock)
-	s.configuration = shelf.New(hooks.Configuration, tell[snapshot.Snapshot](s, feedConfiguration))
-	s.endpoints = shelf.New(hooks.Endpoints, tell[host.Host](s, feedEndpoints))
-	s.zonesOut = shelf.New(hooks.ZonesOut, tell[json.RawMessage](s, feedZonesOut))
-	s.members = shelf.New(hooks.Members, tell[host.Host](s, feedMembers))
+	s.configuration = shelf.New(nil, hooks.Configuration, tell[snapshot.Snapshot](s, feedConfiguration))
+	s.endpoints = shelf.New(isSameHost, hooks.Endpoints, tell[host.Host](s, feedEndpoints))
+	s.zonesOut = shelf.New(nil, hooks.ZonesOut, tell[json.RawMessage](s, feedZonesOut))
+	s.members = shelf.New(isSameHost, hooks.Members, tell[host.Host](s, feedMembers))
 	return s
 }
 
+func isSameHost(now time.Time, before, after host.Host) bool {
+	return before.IsSame(now, after)
+}
+
 // Broadcaster serves the views of this host to others.
 func (s *Supplier) Broadcaster() *broadcaster.Broadcaster {
 	return s.broadcaster
