Encode what a source tells once for all its readers

Cause: a source put together and encoded everything known once for each reader, and a line for each write; hosts without a reader encoded every change for nobody. Change: lines are encoded once and shared, also those of everything known until something new is sent; lines that wait go out in one flush; a grace is a line of its own in front of them.

--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -10,7 +10,7 @@
 	"poplarhook.example/poplarhook/models/view"
 )
 
-// Frame is one line of a stream: a view, its changes, or a sign of life.
+// Frame is one line of a stream: a view, its changes, a grace, or a sign of life.
 type Frame struct {
 	// Feed names the kind of the items, empty for a sign of life.
 	Feed     string          `json:"feed,omitempty"`
--- a/poplarhook/services/subscriber/subscriber.go
+++ b/poplarhook/services/subscriber/subscriber.go
@@ -102,7 +102,7 @@
 	switch {
 	case f.Lost:
 		return ErrLost
-	case f.Feed == "":
+	case f.Feed == "" && f.GraceMS == 0:
 		return nil
 	default:
 		return take(f)
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -173,9 +173,7 @@
 // tell returns a hook that sends each newer view to the readers.
 func tell[T any](s *Supplier, feed string) func(v view.View[T]) {
 	return func(v view.View[T]) {
-		if f, encoded := newFrame(s, feed, v); encoded {
-			s.broadcaster.Send(f)
-		}
+		s.broadcaster.Send(func() (frame.Frame, bool) { return newFrame(s, feed, v) })
 	}
 }
 
