Rank only the endpoints that a request may look at

Cause: to place a request, every endpoint of the group was copied, shuffled, estimated, ranked by a hash of each name and sorted, though at most twelve familiar ones are usually looked at. Ruled out: fewer familiar endpoints; the choice itself is not changed. Change: an endpoint's weight for this host is kept with what is known of it; the familiar ones are found by weight, and only they are estimated; the others are a tier of their own, looked at when no familiar one is good. The list of open endpoints is shared while none is closed.

--- a/lib/ranker/ranker.go
+++ b/lib/ranker/ranker.go
@@ -75,6 +75,11 @@
 	return ranked[:min(max(count, 0), len(ranked))]
 }
 
+// Weight returns the weight that the member has for the key: ranks are by falling weight.
+func Weight(key, member string) uint64 {
+	return mix(xxhash.Sum64String(member) ^ mix(xxhash.Sum64String(key)))
+}
+
 // compare orders by falling weight; the name settles equal weights.
 func compare(a, b weighted) int {
 	return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
--- a/poplarhook/services/locator/locator.go
+++ b/poplarhook/services/locator/locator.go
@@ -1,6 +1,7 @@
 package locator
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -80,14 +81,13 @@
 	return s.IsZoneOut(zone)
 }
 
-// OpenEndpoints returns the endpoints of a group that are neither leaving nor in a zone taken out.
+// OpenEndpoints returns the endpoints of a group that are neither leaving nor in a zone taken out; the slice is shared.
 func (l *Locator) OpenEndpoints(_ time.Time, g group.Group) []host.Host {
 	s, _ := l.Snapshot()
-	var open []host.Host
-	for _, h := range l.Directory().GetEndpointsByGroup(g) {
-		if !h.IsLeaving() && !s.IsZoneOut(h.AvailabilityZone) {
-			open = append(open, h)
-		}
+	isClosed := func(h host.Host) bool { return h.IsLeaving() || s.IsZoneOut(h.AvailabilityZone) }
+	all := l.Directory().GetEndpointsByGroup(g)
+	if !slices.ContainsFunc(all, isClosed) {
+		return all
 	}
-	return open
+	return slices.DeleteFunc(slices.Clone(all), isClosed)
 }
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -93,9 +93,9 @@
 func (s *Surveyor) survey(ctx context.Context, w wish.Wish) (candidate, bool) {
 	var best candidate
 	found := false
-	for distance, tier := range s.tiers(w) {
-		candidates := s.rank(w, tier)
-		if distance > 0 {
+	for _, t := range s.tiers(w) {
+		candidates := s.rank(w, t)
+		if t.far {
 			// Each look at another region takes its way, so only the likeliest are worth one.
 			candidates = candidates[:min(farLooks, len(candidates))]
 		}
@@ -115,8 +115,17 @@
 	return best, found
 }
 
-// tiers returns the groups of the own region and then those of the others.
-func (s *Surveyor) tiers(w wish.Wish) [][]group.Group {
+// tier is a part of the endpoints that are looked at before the next tier is.
+type tier struct {
+	groups []group.Group
+	// unfamiliar says that the tier is those that this host does not usually ask.
+	unfamiliar bool
+	// far says that the endpoints are in other regions.
+	far bool
+}
+
+// tiers returns the parts of the request's endpoints, the likeliest first.
+func (s *Surveyor) tiers(w wish.Wish) []tier {
 	var own, others []group.Group
 	for _, g := range w.Groups {
 		if g.Region == s.region {
@@ -125,7 +134,7 @@
 		}
 		others = append(others, g)
 	}
-	return [][]group.Group{own, others}
+	return []tier{{groups: own}, {groups: own, unfamiliar: true}, {groups: others, far: true}}
 }
 
 // isGood reports whether the endpoint should answer before the request's target.
@@ -137,7 +146,7 @@
 func (s *Surveyor) count(now time.Time, c candidate) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.knowledgeOf(c.host)
+	k := s.knowledgeOf(&c.host)
 	if k.isCold(now) {
 		if !s.mayUseCold(now, c.host) {
 			return false
--- a/poplarhook/services/surveyor/candidate.go
+++ b/poplarhook/services/surveyor/candidate.go
@@ -13,10 +13,6 @@
 	group group.Group
 	host  host.Host
 	cold  bool
-	// passedOver says that the endpoint failed or left a look unanswered a moment ago.
-	passedOver bool
-	// unfamiliar says that this host looks at the endpoint only when those that it usually asks are no good.
-	unfamiliar bool
 	estimate   time.Duration
 	report     report.Report
 	lookedAt   time.Time
@@ -24,18 +20,6 @@
 	sentBefore int
 }
 
-// distance orders candidates before their estimates do.
-func (c candidate) distance() int {
-	switch {
-	case c.passedOver:
-		return 2
-	case c.unfamiliar:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // hasFreeSlot reports whether the request should be worked on at once, as far as is known.
 func (c candidate) hasFreeSlot() bool {
 	if !c.report.Loaded {
--- a/poplarhook/services/surveyor/dump.go
+++ b/poplarhook/services/surveyor/dump.go
@@ -12,7 +12,7 @@
 	defer s.mu.Unlock()
 	all := make([]belief.Endpoint, 0, len(endpoints))
 	for _, h := range endpoints {
-		k := s.knowledgeOf(h)
+		k := s.knowledgeOf(&h)
 		all = append(all, belief.Endpoint{
 			ID:               h.ID,
 			Incarnation:      h.Incarnation,
--- a/poplarhook/services/surveyor/knowledge.go
+++ b/poplarhook/services/surveyor/knowledge.go
@@ -4,13 +4,16 @@
 	"time"
 
 	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/ranker"
 	"poplarhook.example/poplarhook/models/report"
 )
 
 // knowledge is what this host knows of one endpoint.
 type knowledge struct {
 	incarnation string
-	inFlight    int
+	// weight is the endpoint's rank for this host among those of its group, the same for each of its incarnations.
+	weight   uint64
+	inFlight int
 	// last is the newest report and lastAt when it came.
 	last   report.Report
 	lastAt time.Time
@@ -23,10 +26,10 @@
 }
 
 // knowledgeOf returns what is known of the endpoint; a new incarnation is unknown. The lock is held.
-func (s *Surveyor) knowledgeOf(h host.Host) *knowledge {
+func (s *Surveyor) knowledgeOf(h *host.Host) *knowledge {
 	k := s.known[h.ID]
 	if k == nil || k.incarnation != h.Incarnation {
-		k = &knowledge{incarnation: h.Incarnation}
+		k = &knowledge{incarnation: h.Incarnation, weight: ranker.Weight(s.self, h.ID)}
 		s.known[h.ID] = k
 	}
 	if h.ColdUntil.After(k.coldUntil) {
--- a/poplarhook/services/surveyor/look.go
+++ b/poplarhook/services/surveyor/look.go
@@ -83,7 +83,7 @@
 	c.lookedAt = now
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.knowledgeOf(c.host)
+	k := s.knowledgeOf(&c.host)
 	if c.report.Err != nil {
 		k.passOverUntil = now.Add(unansweredFor)
 		return c
@@ -115,7 +115,7 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.knowledgeOf(c.host)
+	k := s.knowledgeOf(&c.host)
 	since := max(k.inFlight-c.sentBefore, 0)
 	running, slowness := c.report.InFlight+since, c.report.Slowness
 	if !c.report.Loaded {
--- a/poplarhook/services/surveyor/rank.go
+++ b/poplarhook/services/surveyor/rank.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"poplarhook.example/lib/host"
-	"poplarhook.example/lib/ranker"
 	"poplarhook.example/poplarhook/models/estimator"
 	"poplarhook.example/poplarhook/models/group"
 	"poplarhook.example/poplarhook/models/wish"
@@ -23,44 +22,83 @@
 	firstWay = 25 * time.Millisecond
 )
 
-// rank returns the endpoints of the groups that may get the request, the likeliest first.
-func (s *Surveyor) rank(w wish.Wish, groups []group.Group) []candidate {
+// option is an endpoint that may get the request.
+type option struct {
+	group group.Group
+	host  *host.Host
+	known *knowledge
+}
+
+// rank returns the endpoints of a tier that may get the request, the likeliest first.
+func (s *Surveyor) rank(w wish.Wish, t tier) []candidate {
 	now := s.clock()
-	var candidates []candidate
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	options, least := s.options(now, w, t.groups)
+	candidates := make([]candidate, 0, familiar)
+	for _, o := range options {
+		if isFamiliar := o.known.weight >= least; isFamiliar != t.unfamiliar {
+			candidates = append(candidates, s.candidateOf(now, w, o))
+		}
+	}
+	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.estimate, b.estimate) })
+	return candidates
+}
+
+// options returns the endpoints of the groups that may get work, and the least weight of those that this host usually
+// asks; those that failed or left a look unanswered a moment ago are returned only if no other is left. The lock is held.
+func (s *Surveyor) options(now time.Time, w wish.Wish, groups []group.Group) (options []option, least uint64) {
+	var sound, passedOver []option
 	for _, g := range groups {
-		for _, h := range s.source.OpenEndpoints(now, g) {
-			if c, open := s.candidateOf(now, w, g, h); open && h.ID != w.Excluded {
-				candidates = append(candidates, c)
+		open := s.source.OpenEndpoints(now, g)
+		for i := range open {
+			h := &open[i]
+			k := s.knowledgeOf(h)
+			switch {
+			case h.ID == w.Excluded || k.replaced || (k.isCold(now) && !s.mayUseCold(now, *h)):
+			case now.Before(k.passOverUntil):
+				passedOver = append(passedOver, option{group: g, host: h, known: k})
+			default:
+				sound = append(sound, option{group: g, host: h, known: k})
 			}
 		}
 	}
-	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	s.markFamiliar(candidates)
-	slices.SortStableFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.distance(), b.distance()), cmp.Compare(a.estimate, b.estimate))
-	})
-	if sound := slices.IndexFunc(candidates, func(c candidate) bool { return c.passedOver }); sound > 0 {
-		return candidates[:sound]
+	least = leastFamiliar(sound, passedOver)
+	if len(sound) > 0 {
+		return sound, least
 	}
-	return candidates
+	return passedOver, least
 }
 
-// candidateOf estimates an endpoint by what is known without a look, and reports whether it may get work. The lock is held.
-func (s *Surveyor) candidateOf(now time.Time, w wish.Wish, g group.Group, h host.Host) (candidate, bool) {
-	k := s.knowledgeOf(h)
-	c := candidate{group: g, host: h, cold: k.isCold(now), sentBefore: k.inFlight}
-	if k.replaced || (c.cold && !s.mayUseCold(now, h)) {
-		return c, false
+// leastFamiliar returns the least weight of the endpoints that this host usually asks.
+//
+// Each host has its own choice, of as many as it can keep connections to; all
+// hosts together choose each endpoint about equally often.
+func leastFamiliar(sound, passedOver []option) uint64 {
+	if len(sound)+len(passedOver) <= familiar {
+		return 0
+	}
+	weights := make([]uint64, 0, len(sound)+len(passedOver))
+	for _, o := range sound {
+		weights = append(weights, o.known.weight)
+	}
+	for _, o := range passedOver {
+		weights = append(weights, o.known.weight)
 	}
-	state := s.stateOf(now, k, h)
-	c.estimate = estimator.Estimate(s.workOf(w), state)
-	if now.Before(k.passOverUntil) {
-		c.estimate += time.Minute
-		c.passedOver = true
+	slices.Sort(weights)
+	return weights[len(weights)-familiar]
+}
+
+// candidateOf estimates an endpoint by what is known without a look. The lock is held.
+func (s *Surveyor) candidateOf(now time.Time, w wish.Wish, o option) candidate {
+	return candidate{
+		group:      o.group,
+		host:       *o.host,
+		cold:       o.known.isCold(now),
+		sentBefore: o.known.inFlight,
+		estimate:   estimator.Estimate(s.workOf(w), s.stateOf(now, o.known, *o.host)),
 	}
-	return c, true
 }
 
 func (s *Surveyor) mayUseCold(now time.Time, h host.Host) bool {
@@ -101,19 +139,3 @@
 	}
 	return firstWay
 }
-
-// markFamiliar leaves as many endpoints of each host's own choice as it can keep connections to; all hosts together
-// choose each endpoint about equally often.
-func (s *Surveyor) markFamiliar(candidates []candidate) {
-	if len(candidates) <= familiar {
-		return
-	}
-	ids := make([]string, 0, len(candidates))
-	for _, c := range candidates {
-		ids = append(ids, c.host.ID)
-	}
-	best := ranker.New(ids...).Best(s.self, familiar)
-	for i := range candidates {
-		candidates[i].unfamiliar = !slices.Contains(best, candidates[i].host.ID)
-	}
-}
--- a/poplarhook/services/surveyor/surveyor.go
+++ b/poplarhook/services/surveyor/surveyor.go
@@ -119,7 +119,7 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.knowledgeOf(b.Endpoint)
+	k := s.knowledgeOf(&b.Endpoint)
 	k.inFlight = max(k.inFlight-1, 0)
 	k.learn(now, r)
 	switch {
