--- a/poplarhook/services/surveyor/candidate.go
+++ b/poplarhook/services/surveyor/candidate.go
@@ -10,12 +10,12 @@
 
 // candidate is an endpoint that may get the request.
 type candidate struct {
-	group group.Group
-	host  host.Host
-	cold  bool
-	estimate   time.Duration
-	report     report.Report
-	lookedAt   time.Time
+	group    group.Group
+	host     host.Host
+	cold     bool
+	estimate time.Duration
+	report   report.Report
+	lookedAt time.Time
 	// sentBefore is how many requests of this host were in flight there when the look was sent.
 	sentBefore int
 }
