Let hosts of a region hear the store through each other in a tree

Cause: the source of a region told every other host of it. Change: the first in rank serves 48 hosts, each of those 48 more, and so on (sourcesFor). Every host that hears the store serves readers. Signs of life start at the host that follows the store and are passed on, with the number of hosts between; more than four are not believed, so hosts that read from each other in a circle fall silent. A host below another asks it once more when both have lost the one above, before it turns to the first in rank. A host moves to a better source only once that one is heard. Ruled out: age of belief in each line (clocks of several hosts), and each host between making its own signs of life (a circle would keep itself alive). Tests: services/supplier/relay_test.go, seen failing without the second question and without the bound on hosts between.

--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -19,6 +19,8 @@
 	Changes  json.RawMessage `json:"changes,omitempty"`
 	// GraceMS is how much longer entries that lapsed while the store was away may come back, in milliseconds.
 	GraceMS int64 `json:"grace_ms,omitempty"`
+	// Hops is, in a sign of life, through how many hosts the sender hears the store.
+	Hops int `json:"hops,omitempty"`
 	// Lost says that the sender no longer hears the store.
 	Lost bool `json:"lost,omitempty"`
 }
@@ -44,3 +46,8 @@
 	v.Changed = []change.Change[T]{}
 	return v, errors.Wrapf(json.Unmarshal(f.Changes, &v.Changed), "changes of %s", f.Feed)
 }
+
+// IsPulse reports whether the frame is a sign of life.
+func (f Frame) IsPulse() bool {
+	return f.Feed == "" && f.GraceMS == 0 && !f.Lost
+}
--- a/poplarhook/services/broadcaster/broadcaster.go
+++ b/poplarhook/services/broadcaster/broadcaster.go
@@ -19,16 +19,16 @@
 	writeTimeout = 2 * time.Second
 )
 
-// Broadcaster serves streams of frames while this host hears the store itself.
+// Broadcaster serves streams of frames while this host hears the store, itself or through another host.
 type Broadcaster struct {
 	// whole returns frames that hold everything known.
 	whole func() []frame.Frame
-	pulse time.Duration
 	clock func() time.Time
 
-	mu   sync.Mutex
-	open bool
-	lost bool
+	mu      sync.Mutex
+	serving bool
+	// toldLost says that the readers know that this host no longer hears the store.
+	toldLost bool
 	// graceUntil is until when lapsed entries may come back.
 	graceUntil time.Time
 	readers    map[chan []byte]context.CancelFunc
@@ -38,33 +38,44 @@
 	sent  int64
 }
 
-// New returns a Broadcaster that serves nobody until it is opened; whole gives everything known, and pulse is the time
-// between signs of life on a stream.
-func New(whole func() []frame.Frame, pulse time.Duration, clock func() time.Time) *Broadcaster {
-	return &Broadcaster{whole: whole, pulse: pulse, clock: clock, readers: make(map[chan []byte]context.CancelFunc)}
+// New returns a Broadcaster that serves nobody until it is told to; whole gives everything known.
+func New(whole func() []frame.Frame, clock func() time.Time) *Broadcaster {
+	return &Broadcaster{whole: whole, clock: clock, readers: make(map[chan []byte]context.CancelFunc)}
 }
 
-// SetOpen starts to serve, or ends all streams.
-func (b *Broadcaster) SetOpen(open bool) {
+// SetServing sets whether new readers are taken; those that read already stay.
+func (b *Broadcaster) SetServing(serving bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.open = open
-	if open {
-		return
-	}
-	for _, cancel := range b.readers {
-		cancel()
+	b.serving = serving
+	if serving {
+		b.toldLost = false
 	}
 }
 
-// SetLost tells readers whether this host hears the store.
-func (b *Broadcaster) SetLost(lost bool) {
+// TellLost tells readers that this host cannot hear the store, unless it serves.
+func (b *Broadcaster) TellLost() {
 	b.mu.Lock()
-	changed := b.lost != lost
-	b.lost = lost
+	tell := !b.serving && !b.toldLost
+	b.toldLost = b.toldLost || tell
 	b.mu.Unlock()
-	if changed {
-		b.Send(func() (frame.Frame, bool) { return frame.Frame{Lost: lost}, true })
+	if tell {
+		b.sendLine(lineOf(frame.Frame{Lost: true}))
+	}
+}
+
+// Pulse tells readers that the store is heard through as many hosts as given before this one's readers.
+func (b *Broadcaster) Pulse(hops int) {
+	b.sendLine(lineOf(frame.Frame{Hops: hops}))
+}
+
+// Close ends all streams for good.
+func (b *Broadcaster) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.serving = false
+	for _, cancel := range b.readers {
+		cancel()
 	}
 }
 
@@ -97,7 +108,18 @@
 	if !made {
 		return
 	}
-	line := lineOf(f)
+	b.push(lineOf(f))
+}
+
+// sendLine hands a line that says nothing of what is known to every reader.
+func (b *Broadcaster) sendLine(line []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.push(line)
+}
+
+// push hands a line to every reader; the lock is held.
+func (b *Broadcaster) push(line []byte) {
 	for queue, cancel := range b.readers {
 		select {
 		case queue <- line:
@@ -143,7 +165,7 @@
 	return len(b.readers)
 }
 
-// ServeHTTP streams frames until the reader leaves, or refuses with 503 while this host does not hear the store.
+// ServeHTTP streams frames until the reader leaves, or refuses with 503 while this host does not serve.
 func (b *Broadcaster) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -164,7 +186,7 @@
 		return writeAll(w, lines) && control.Flush() == nil
 	}
 	if write(slices.Clone(b.lines())...) {
-		b.pump(ctx, queue, write)
+		pump(ctx, queue, write)
 	}
 }
 
@@ -183,21 +205,16 @@
 	return true
 }
 
-// pump writes lines as they come and signs of life in between.
-func (b *Broadcaster) pump(ctx context.Context, queue <-chan []byte, write func(lines ...[]byte) bool) {
-	ticker := time.NewTicker(b.pulse)
-	defer ticker.Stop()
+// pump writes lines as they come.
+func pump(ctx context.Context, queue <-chan []byte, write func(lines ...[]byte) bool) {
 	for {
-		var line []byte
 		select {
 		case <-ctx.Done():
 			return
-		case line = <-queue:
-		case <-ticker.C:
-			line = lineOf(frame.Frame{Lost: b.isLost()})
-		}
-		if !write(waiting(line, queue)...) {
-			return
+		case line := <-queue:
+			if !write(waiting(line, queue)...) {
+				return
+			}
 		}
 	}
 }
@@ -215,16 +232,10 @@
 	}
 }
 
-func (b *Broadcaster) isLost() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.lost
-}
-
 func (b *Broadcaster) enter(cancel context.CancelFunc) (chan []byte, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.open || b.lost {
+	if !b.serving {
 		return nil, false
 	}
 	queue := make(chan []byte, queueLength)
--- a/poplarhook/services/broadcaster/broadcaster_test.go
+++ b/poplarhook/services/broadcaster/broadcaster_test.go
@@ -15,8 +15,6 @@
 	"poplarhook.example/poplarhook/services/broadcaster"
 )
 
-const pulse = 20 * time.Millisecond
-
 // station is a broadcaster with its server, which counts how often everything known is put together.
 type station struct {
 	*broadcaster.Broadcaster
@@ -30,11 +28,11 @@
 	s.Broadcaster = broadcaster.New(func() []frame.Frame {
 		s.wholes.Add(1)
 		return []frame.Frame{{Feed: "endpoints", Revision: 1}}
-	}, pulse, time.Now)
-	s.SetOpen(true)
+	}, time.Now)
+	s.SetServing(true)
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	t.Cleanup(func() { s.SetOpen(false) })
+	t.Cleanup(s.Close)
 	s.url = server.URL
 	return s
 }
@@ -83,17 +81,7 @@
 	qt.Assert(t, made, qt.Equals, 1)
 	for _, lines := range streams {
 		next(t, lines)
-		qt.Assert(t, nextOf(t, lines, "{}"), qt.Equals, `{"feed":"members","revision":2}`)
-	}
-}
-
-// nextOf returns the next line that is not the one to leave out.
-func nextOf(t *testing.T, lines *bufio.Scanner, leftOut string) string {
-	t.Helper()
-	for {
-		if line := next(t, lines); line != leftOut {
-			return line
-		}
+		qt.Assert(t, next(t, lines), qt.Equals, `{"feed":"members","revision":2}`)
 	}
 }
 
@@ -109,8 +97,15 @@
 	s := newStation(t)
 	lines := s.read(t)
 	next(t, lines)
-	s.SetLost(true)
-	qt.Assert(t, nextOf(t, lines, "{}"), qt.Equals, `{"lost":true}`)
+	s.TellLost()
+	s.Pulse(1)
+	qt.Assert(t, next(t, lines), qt.Equals, `{"hops":1}`, qt.Commentf("a host that serves tells no loss"))
+	s.SetServing(false)
+	s.TellLost()
+	s.TellLost()
+	s.Pulse(2)
+	qt.Assert(t, next(t, lines), qt.Equals, `{"lost":true}`)
+	qt.Assert(t, next(t, lines), qt.Equals, `{"hops":2}`)
 	response, err := http.Get(s.url)
 	qt.Assert(t, err, qt.IsNil)
 	_ = response.Body.Close()
--- a/poplarhook/services/subscriber/subscriber.go
+++ b/poplarhook/services/subscriber/subscriber.go
@@ -16,7 +16,7 @@
 
 // Errors by which callers tell why a stream ended or did not begin.
 var (
-	// ErrNotServing says that the host is there but does not hear the store itself.
+	// ErrNotServing says that the host is there but does not hear the store.
 	ErrNotServing = errors.New("host serves no stream")
 	// ErrLost says that the host stopped hearing the store.
 	ErrLost = errors.New("host lost the store")
@@ -48,14 +48,15 @@
 	}}}
 }
 
-// Read hands each frame of the host at the address to take until the stream ends; the error says why it did.
-func (s *Subscriber) Read(ctx context.Context, address string, take func(f frame.Frame) error) error {
-	return s.read(ctx, "http://"+address+Path, take)
+// Read hands each frame of the host at the address to take until the stream ends, the first of which must come within
+// the given time; the error says why it ended.
+func (s *Subscriber) Read(ctx context.Context, address string, first time.Duration, take func(f frame.Frame) error) error {
+	return s.read(ctx, "http://"+address+Path, first, take)
 }
 
 // Ask hands what the host at the address knows to take.
 func (s *Subscriber) Ask(ctx context.Context, address string, take func(f frame.Frame) error) error {
-	err := s.read(ctx, "http://"+address+KnownPath, take)
+	err := s.read(ctx, "http://"+address+KnownPath, s.silence, take)
 	if errors.Is(err, errEnded) {
 		return nil
 	}
@@ -65,10 +66,10 @@
 // errEnded says that the other host ended its answer; a stream has no end.
 var errEnded = errors.Wrap(ErrSilent, "the answer has ended")
 
-func (s *Subscriber) read(ctx context.Context, url string, take func(f frame.Frame) error) error {
+func (s *Subscriber) read(ctx context.Context, url string, first time.Duration, take func(f frame.Frame) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(s.silence, cancel)
+	watchdog := time.AfterFunc(first, cancel)
 	defer watchdog.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
@@ -99,12 +100,8 @@
 
 // handle takes a frame in, or says that the sender no longer hears the store.
 func handle(f frame.Frame, take func(f frame.Frame) error) error {
-	switch {
-	case f.Lost:
+	if f.Lost {
 		return ErrLost
-	case f.Feed == "" && f.GraceMS == 0:
-		return nil
-	default:
-		return take(f)
 	}
+	return take(f)
 }
--- a/poplarhook/services/supplier/rank.go
+++ b/poplarhook/services/supplier/rank.go
@@ -12,6 +12,25 @@
 // sends every change to each host of its region.
 const large = 0.5
 
+// fanout is how many hosts read from one: the busiest of 99 and 300 hosts that read from three sources sent 1.3 and
+// 7.9 MB a second (docs/CAPACITY.md).
+const fanout = 48
+
+// sourcesFor returns from whom a host may hear the store, the best first, itself last.
+//
+// The first in rank follows the store for the region. It serves the next hosts
+// in rank, each of those as many of the following, and so on. A host that
+// loses the one above it asks the first in rank and then the next ones.
+func sourcesFor(self host.Host, members map[string]host.Host, fanout int) []host.Host {
+	ranked := sourcesOf(self, members)
+	place := slices.IndexFunc(ranked, func(h host.Host) bool { return h.ID == self.ID })
+	sources := ranked[:place+1]
+	if above := (place - 1) / fanout; place > 0 && above > 0 {
+		sources = slices.Insert(slices.Clone(sources), 0, ranked[above])
+	}
+	return sources
+}
+
 // sourcesOf returns the hosts of the own region in the order in which they should follow the store for it.
 //
 // All who know the same members agree without talking.
--- a/poplarhook/services/supplier/rank_internal_test.go
+++ b/poplarhook/services/supplier/rank_internal_test.go
@@ -43,3 +43,40 @@
 	got := sourcesOf(host.Host{ID: "new", Region: "r", Capacity: 1}, nil)
 	qt.Assert(t, got, qt.HasLen, 1)
 }
+
+// Who hears the store through whom is a tree: each host serves at most fanout others, and nobody hears through itself.
+func TestTheFirstChoicesOfAllHostsMakeATree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "hosts")
+		readers := rapid.IntRange(1, 8).Draw(t, "readers")
+		members := make(map[string]host.Host, n)
+		for i := range n {
+			id := fmt.Sprintf("h%d", i)
+			members[id] = host.Host{ID: id, Region: "r", Capacity: rapid.SampledFrom([]float64{1.3, 12.6}).Draw(t, "capacity")}
+		}
+		served := make(map[string]int)
+		above := make(map[string]string)
+		for id, self := range members {
+			first := sourcesFor(self, members, readers)[0].ID
+			if first != id {
+				served[first]++
+			}
+			above[id] = first
+		}
+		for id, count := range served {
+			if count > readers {
+				t.Fatalf("%s serves %d", id, count)
+			}
+		}
+		top := sourcesOf(members["h0"], members)[0].ID
+		for id := range members {
+			at := id
+			for range n {
+				at = above[at]
+			}
+			if at != top {
+				t.Fatalf("%s hears the store through %s, not through %s", id, at, top)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/poplarhook/services/supplier/relay_test.go
@@ -0,0 +1,128 @@
+package supplier_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/awaiter"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/pauser"
+	"poplarhook.example/platform/feed"
+	"poplarhook.example/poplarhook/services/subscriber"
+	"poplarhook.example/poplarhook/services/supplier"
+)
+
+// fanout makes trees of a few hosts.
+const fanout = 2
+
+// settleIntoTree waits until every host but one reads from another, of which none serves more than it should.
+func (w *world) settleIntoTree() {
+	w.t.Helper()
+	awaiter.New(5*time.Millisecond).Await(w.t, 20*time.Second, "hosts read from each other", func() bool {
+		all := 0
+		for _, e := range w.hosts {
+			readers := e.supplier.Broadcaster().Readers()
+			if readers > fanout {
+				return false
+			}
+			all += readers
+		}
+		return all == len(w.hosts)-1
+	})
+}
+
+func TestNoHostServesMoreThanAFewAndChangesReachAll(t *testing.T) {
+	w := newWorld(t, 9, supplier.WithFanout(fanout))
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.settleIntoTree()
+	before := w.store.Calls("watch") + w.store.Calls("list")
+	for version := int64(2); version <= 6; version++ {
+		w.configure(version)
+		w.all(bound, "a changed configuration", hasVersion(version))
+	}
+	calls := w.store.Calls("watch") + w.store.Calls("list") - before
+	qt.Assert(t, calls <= 12, qt.IsTrue, qt.Commentf("%d calls for 5 changes at 9 hosts", calls))
+}
+
+func TestAChangeIsKnownInTimeWhenAnyHostOfATreeDies(t *testing.T) {
+	w := newWorld(t, 8, supplier.WithFanout(fanout))
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.settleIntoTree()
+	version := int64(1)
+	for len(w.hosts) > 1 {
+		w.drop(w.hosts[0])
+		version++
+		w.configure(version)
+		w.all(bound, "a configuration after a host has died", hasVersion(version))
+	}
+}
+
+// Hosts below the first lose their source at the same moment as those above them.
+func TestFewHostsFollowTheStoreAfterTheFirstIsLost(t *testing.T) {
+	for name, lose := range map[string]func(w *world, first *entryHost){
+		"it dies":         (*world).drop,
+		"it falls silent": func(_ *world, first *entryHost) { first.silence() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 9, supplier.WithFanout(fanout))
+			w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+			w.settleIntoTree()
+			before := w.followed()
+			lose(w, w.hosts[slices.IndexFunc(w.hosts, (*entryHost).followsStore)])
+			w.configure(2)
+			w.all(bound, "a configuration after the first host was lost", hasVersion(2))
+			followed := w.followed() - before
+			qt.Assert(t, followed <= 2, qt.IsTrue, qt.Commentf("%d hosts followed the store", followed))
+		})
+	}
+}
+
+// followed returns how often the hosts that run have begun to follow the store.
+func (w *world) followed() int {
+	n := 0
+	for _, e := range w.hosts {
+		n += e.event("source_store")
+	}
+	return n
+}
+
+func TestEveryHostOfATreeLearnsOfTheGraceAfterAnOutage(t *testing.T) {
+	w := newWorld(t, 6, supplier.WithFanout(fanout))
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.settleIntoTree()
+	w.store.SetDown(true)
+	w.all(5*time.Second, "the loss of the store is noticed", func(e *entryHost) bool { return !e.isHeard() })
+	downAt := time.Now()
+	awaiter.New(5*time.Millisecond).Await(t, 5*time.Second, "the outage is long enough for entries to lapse", func() bool {
+		return time.Since(downAt) > 600*time.Millisecond
+	})
+	w.configure(2)
+	w.store.SetDown(false)
+	w.all(bound, "a configuration from during the outage", hasVersion(2))
+	w.all(bound, "every host gives lapsed entries a grace", (*entryHost).hadGrace)
+}
+
+// Hosts that only read from each other would believe for ever that they are up to date.
+func TestAHostThatHearsTheStoreThroughTooManyIsNoSource(t *testing.T) {
+	far := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != subscriber.Path {
+			return
+		}
+		_, _ = rw.Write([]byte(`{"feed":"members","revision":1,"items":{}}` + "\n"))
+		for pauser.Pause(r.Context(), 50*time.Millisecond) == nil {
+			_, _ = rw.Write([]byte(`{"hops":4}` + "\n"))
+			_ = http.NewResponseController(rw).Flush()
+		}
+	}))
+	t.Cleanup(far.Close)
+	w := newWorld(t, 0)
+	w.store.Put(feed.KindMembers, "far", host.Host{ID: "far", Region: "region", PeerAddress: far.Listener.Addr().String(), Capacity: 9})
+	e := w.start("host-0")
+	w.all(10*time.Second, "the configuration from the store itself", hasVersion(1))
+	qt.Assert(t, e.isHeard(), qt.IsTrue)
+}
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -21,6 +21,8 @@
 // direct is one spell in which this host follows the store itself.
 type direct struct {
 	s *Supplier
+	// begun is called once the store is heard.
+	begun func()
 	// heard says that the store answered the last question.
 	heard atomic.Bool
 	// watching ends the watches that run, nil while there are none.
@@ -35,38 +37,29 @@
 	awaySince time.Time
 }
 
-// follow follows the store until another host has taken over.
-func (s *Supplier) follow(ctx context.Context) {
-	spell, end := context.WithCancel(ctx)
-	defer end()
-	d := &direct{s: s, forgotten: make(chan struct{}, 1)}
+// follow follows the store until the context ends.
+func (s *Supplier) follow(ctx context.Context, begun func()) {
+	d := &direct{s: s, begun: begun, forgotten: make(chan struct{}, 1)}
 	s.counter("source_store")
 	s.logger.Info("following the store")
-	s.broadcaster.SetLost(true)
-	s.broadcaster.SetOpen(true)
-	reviewed := make(chan struct{})
-	go func() {
-		s.review(ctx, spell, end)
-		close(reviewed)
-	}()
-	d.check(spell)
+	pulsed := d.pulse(ctx)
+	d.check(ctx)
 	d.stopWatches()
-	s.broadcaster.SetOpen(false)
-	<-reviewed
+	<-pulsed
 }
 
-// review looks for another host that follows the store for this one, and ends the spell once it is heard.
-//
-// It returns when that host is heard no longer, or with the spell.
-func (s *Supplier) review(ctx, spell context.Context, end context.CancelFunc) {
-	for {
-		if pauser.Pause(spell, s.times.review) != nil {
-			return
-		}
-		if source := s.choose(); source.ID != s.self.ID {
-			s.read(ctx, source, end)
+// pulse tells readers that the store is heard, for as long as it is; the channel is closed at the end of the context.
+func (d *direct) pulse(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for pauser.Pause(ctx, d.s.times.pulse) == nil {
+			if d.heard.Load() {
+				d.s.broadcaster.Pulse(0)
+			}
 		}
-	}
+	}()
+	return ended
 }
 
 // check asks for the store's revision until the spell ends; its answer is also the list of the zones that are out.
@@ -153,8 +146,9 @@
 	if d.heard.Swap(false) {
 		d.s.logger.Warn("store lost", zap.String("error", err.Error()), zap.Int64("revision", d.newest()))
 		d.s.heard(false)
+		d.s.broadcaster.SetServing(false)
 	}
-	d.s.broadcaster.SetLost(true)
+	d.s.broadcaster.TellLost()
 	if d.awaySince.IsZero() {
 		d.awaySince = d.s.clock()
 	}
@@ -170,7 +164,8 @@
 		d.startWatches(ctx)
 	}
 	d.s.heard(true)
-	d.s.broadcaster.SetLost(false)
+	d.s.broadcaster.SetServing(true)
+	d.begun()
 }
 
 // startWatches lists and watches everything.
--- /dev/null
+++ b/poplarhook/services/supplier/stream.go
@@ -0,0 +1,97 @@
+package supplier
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"poplarhook.example/lib/host"
+	"poplarhook.example/lib/pauser"
+	"poplarhook.example/poplarhook/models/frame"
+	"poplarhook.example/poplarhook/services/subscriber"
+)
+
+// maxHops is through how many hosts the store may be heard: enough for fanout hosts to the fourth power in a region.
+// Hosts that read from each other in a circle hear no more than that.
+const maxHops = 4
+
+// errTooFar says that the store is heard through too many hosts.
+var errTooFar = errors.New("too many hosts between this one and the store")
+
+// stream is one spell in which this host hears the store through another host.
+type stream struct {
+	s      *Supplier
+	source host.Host
+	begun  func()
+	served bool
+	// relayed says that the other host does not follow the store itself.
+	relayed bool
+}
+
+// read follows the views of another host until that ends, and then keeps away from it for a while.
+func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) {
+	startedAt := s.clock()
+	r := &stream{s: s, source: source, begun: begun}
+	err := r.subscribe(ctx, s.times.silence)
+	if r.relayed && errors.Is(err, subscriber.ErrSilent) && ctx.Err() == nil {
+		// The other host has lost its source at the same moment and is about to hear the next one.
+		s.broadcaster.SetServing(false)
+		err = r.subscribe(ctx, s.times.serving)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	if r.served {
+		s.heard(false)
+		s.broadcaster.SetServing(false)
+	}
+	s.penalise(source.ID, s.clock().Sub(startedAt))
+	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.String("error", err.Error()))
+}
+
+// subscribe reads the stream of the host, waiting for a short time until it serves; the first line must come within the
+// given time.
+func (r *stream) subscribe(ctx context.Context, first time.Duration) error {
+	until := r.s.clock().Add(r.s.times.serving)
+	for {
+		err := r.s.subscriber.Read(ctx, r.source.PeerAddress, first, r.take)
+		if !errors.Is(err, subscriber.ErrNotServing) || !r.s.clock().Before(until) {
+			return err
+		}
+		if pauser.Pause(ctx, r.s.times.servingStep) != nil {
+			return err
+		}
+	}
+}
+
+// take takes a frame in; signs of life go on to this host's own readers.
+func (r *stream) take(f frame.Frame) error {
+	if f.IsPulse() {
+		return r.pulse(f.Hops)
+	}
+	if err := r.s.take(f); err != nil {
+		return err
+	}
+	r.s.broadcaster.SetServing(true)
+	if r.served {
+		return nil
+	}
+	r.served = true
+	r.s.succeed()
+	r.s.heard(true)
+	r.s.counter("source_peer")
+	r.s.logger.Info("following an entry host", zap.String("source", r.source.ID), zap.String("address", r.source.PeerAddress))
+	r.begun()
+	return nil
+}
+
+func (r *stream) pulse(hops int) error {
+	if hops >= maxHops {
+		return errTooFar
+	}
+	r.relayed = hops > 0
+	r.s.broadcaster.Pulse(hops + 1)
+	return nil
+}
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -6,12 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/change"
 	"poplarhook.example/lib/host"
-	"poplarhook.example/lib/pauser"
 	"poplarhook.example/lib/snapshot"
 	"poplarhook.example/poplarhook/models/frame"
 	"poplarhook.example/poplarhook/models/view"
@@ -73,6 +71,7 @@
 	seeds       []string
 	times       times
 	lapseGrace  time.Duration
+	fanout      int
 
 	configuration *shelf.Shelf[snapshot.Snapshot]
 	endpoints     *shelf.Shelf[host.Host]
@@ -85,18 +84,6 @@
 	failures int
 }
 
-// penalty keeps a host that did not serve from being asked at once again.
-type penalty struct {
-	until time.Time
-	last  time.Duration
-}
-
-const (
-	firstPenalty = 2 * time.Second
-	lastPenalty  = 30 * time.Second
-	maxFailures  = 2
-)
-
 // Option changes how a Supplier is built.
 type Option func(*Supplier)
 
@@ -130,6 +117,11 @@
 	return func(s *Supplier) { s.lapseGrace = grace }
 }
 
+// WithFanout sets how many hosts read from one.
+func WithFanout(readers int) Option {
+	return func(s *Supplier) { s.fanout = readers }
+}
+
 // WithSeeds names the peer addresses of hosts to ask while neither the store nor any other host is known.
 func WithSeeds(addresses ...string) Option {
 	return func(s *Supplier) { s.seeds = addresses }
@@ -147,13 +139,14 @@
 		grace:     hooks.Grace,
 		times:     timesFor(reference),
 		watchWait: maxWatchWait,
+		fanout:    fanout,
 		penalties: make(map[string]penalty),
 	}
 	for _, option := range options {
 		option(s)
 	}
 	s.subscriber = subscriber.New(s.times.silence)
-	s.broadcaster = broadcaster.New(s.whole, s.times.pulse, s.clock)
+	s.broadcaster = broadcaster.New(s.whole, s.clock)
 	s.configuration = shelf.New(nil, hooks.Configuration, tell[snapshot.Snapshot](s, feedConfiguration))
 	s.endpoints = shelf.New(isSameHost, hooks.Endpoints, tell[host.Host](s, feedEndpoints))
 	s.zonesOut = shelf.New(nil, hooks.ZonesOut, tell[json.RawMessage](s, feedZonesOut))
@@ -218,42 +211,6 @@
 	return done
 }
 
-func (s *Supplier) run(ctx context.Context) {
-	s.join(ctx)
-	for ctx.Err() == nil {
-		source := s.choose()
-		if source.ID == s.self.ID {
-			s.follow(ctx)
-			continue
-		}
-		s.read(ctx, source, func() {})
-	}
-}
-
-const (
-	// joinTime is how long a starting host waits for another one of its region to serve: hosts that start together
-	// need some time to find each other.
-	joinTime = 700 * time.Millisecond
-	joinStep = 100 * time.Millisecond
-)
-
-// join looks for a host that serves before this one follows the store itself.
-func (s *Supplier) join(ctx context.Context) {
-	until := s.clock().Add(joinTime)
-	for ctx.Err() == nil && s.clock().Before(until) {
-		s.findMembers(ctx)
-		source := s.choose()
-		if source.ID != s.self.ID && s.read(ctx, source, func() {}) {
-			return
-		}
-		s.forgive()
-		if source.ID == s.self.ID && len(s.members.Get().Items) > 1 {
-			return
-		}
-		_ = pauser.Pause(ctx, joinStep)
-	}
-}
-
 // findMembers lists the entry hosts unless others are known already.
 func (s *Supplier) findMembers(ctx context.Context) {
 	if len(s.members.Get().Items) > 1 {
@@ -288,66 +245,6 @@
 	}
 }
 
-// forgive lets every host be asked again at once.
-func (s *Supplier) forgive() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failures = 0
-	clear(s.penalties)
-}
-
-// read follows the views of another host until that ends, and then keeps away from it for a while.
-//
-// It reports whether that host served at all.
-func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) bool {
-	first := true
-	startedAt := s.clock()
-	err := s.subscribe(ctx, source, func(f frame.Frame) error {
-		if err := s.take(f); err != nil {
-			return err
-		}
-		if first {
-			first = false
-			s.succeed()
-			begun()
-			s.heard(true)
-			s.counter("source_peer")
-			s.logger.Info("following an entry host", zap.String("source", source.ID), zap.String("address", source.PeerAddress))
-		}
-		return nil
-	})
-	if ctx.Err() != nil {
-		return !first
-	}
-	if !first {
-		s.heard(false)
-	}
-	s.penalise(source.ID, s.clock().Sub(startedAt))
-	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.String("error", err.Error()))
-	return !first
-}
-
-// subscribe reads the stream of a host, waiting for a short time until it serves.
-func (s *Supplier) subscribe(ctx context.Context, source host.Host, take func(f frame.Frame) error) error {
-	until := s.clock().Add(s.times.serving)
-	for {
-		err := s.subscriber.Read(ctx, source.PeerAddress, take)
-		if !errors.Is(err, subscriber.ErrNotServing) || !s.clock().Before(until) {
-			return err
-		}
-		if pauser.Pause(ctx, s.times.servingStep) != nil {
-			return err
-		}
-	}
-}
-
-// succeed takes in that a host has served.
-func (s *Supplier) succeed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failures = 0
-}
-
 // lapseAfter is how long the store must have been away for entries to lapse because of it: endpoints renew them less
 // often than that.
 const lapseAfter = 500 * time.Millisecond
@@ -368,8 +265,9 @@
 // take puts the view of a frame on its shelf; a grace counts before what the frame leaves out.
 func (s *Supplier) take(f frame.Frame) error {
 	now := s.clock()
-	if f.GraceMS > 0 {
-		s.grace(time.Duration(f.GraceMS) * time.Millisecond)
+	if left := time.Duration(f.GraceMS) * time.Millisecond; left > 0 {
+		s.broadcaster.SetGrace(now.Add(left))
+		s.grace(left)
 	}
 	switch f.Feed {
 	case feedConfiguration:
@@ -393,38 +291,3 @@
 	on.Put(v)
 	return nil
 }
-
-// choose returns the host that should follow the store for this region.
-//
-// After two hosts in a row that did not serve this host follows the store
-// itself: to ask one after the other would take longer than a change may.
-func (s *Supplier) choose() host.Host {
-	members := s.members.Get().Items
-	now := s.clock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.failures >= maxFailures {
-		s.failures = 0
-		return s.self
-	}
-	for _, h := range sourcesOf(s.self, members) {
-		if h.ID == s.self.ID || !now.Before(s.penalties[h.ID].until) {
-			return h
-		}
-	}
-	return s.self
-}
-
-// penalise keeps away from a host, longer each time unless it has served for long.
-func (s *Supplier) penalise(id string, served time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failures++
-	p := s.penalties[id]
-	p.last = min(max(2*p.last, firstPenalty), lastPenalty)
-	if served > lastPenalty {
-		p.last = firstPenalty
-	}
-	p.until = s.clock().Add(p.last)
-	s.penalties[id] = p
-}
--- a/poplarhook/services/supplier/supplier_test.go
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -44,11 +44,34 @@
 
 	mu       sync.Mutex
 	refused  bool
+	silent   bool
 	versions []int64
 	zonesOut int
 	items    map[string]host.Host
 	heard    bool
 	graces   int
+	// events counts what the supplier counts, and last is the last of them.
+	events map[string]int
+	last   string
+}
+
+func (e *entryHost) count(event string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.events[event]++
+	e.last = event
+}
+
+func (e *entryHost) event(name string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.events[name]
+}
+
+func (e *entryHost) followsStore() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.last == "source_store"
 }
 
 func (e *entryHost) version() int64 {
@@ -67,6 +90,31 @@
 	e.mu.Unlock()
 }
 
+// silence keeps what the host tells others from them.
+func (e *entryHost) silence() {
+	e.mu.Lock()
+	e.silent = true
+	e.mu.Unlock()
+}
+
+// quietWriter writes nothing while its host is silent.
+type quietWriter struct {
+	http.ResponseWriter
+	host *entryHost
+}
+
+func (q quietWriter) Unwrap() http.ResponseWriter { return q.ResponseWriter }
+
+func (q quietWriter) Write(b []byte) (int, error) {
+	q.host.mu.Lock()
+	silent := q.host.silent
+	q.host.mu.Unlock()
+	if silent {
+		return len(b), nil
+	}
+	return q.ResponseWriter.Write(b)
+}
+
 func (e *entryHost) isRefused() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -84,11 +132,13 @@
 	t     *testing.T
 	store *imitator.Store
 	hosts []*entryHost
+	// options are those of each supplier.
+	options []supplier.Option
 }
 
-func newWorld(t *testing.T, hosts int) *world {
+func newWorld(t *testing.T, hosts int, options ...supplier.Option) *world {
 	t.Helper()
-	w := &world{t: t, store: imitator.NewStore()}
+	w := &world{t: t, store: imitator.NewStore(), options: options}
 	t.Cleanup(func() {
 		for _, e := range w.hosts {
 			e.stop()
@@ -110,7 +160,7 @@
 	w.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(w.t, err, qt.IsNil)
-	e := &entryHost{id: id}
+	e := &entryHost{id: id, events: make(map[string]int)}
 	way := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if e.isRefused() {
 			rw.WriteHeader(http.StatusServiceUnavailable)
@@ -128,11 +178,13 @@
 		Members:        feed.Members(calls, skipped),
 		Register:       feed.Register(calls),
 		Forgotten:      feed.ErrForgotten,
-	}, e.hooks(), supplier.WithSeeds(seeds...), supplier.WithLapseGrace(1900*time.Millisecond))
+	}, e.hooks(), append([]supplier.Option{supplier.WithSeeds(seeds...), supplier.WithLapseGrace(1900 * time.Millisecond), supplier.WithCounter(e.count)}, w.options...)...)
 	e.supplier = s
 	router := http.NewServeMux()
 	router.HandleFunc(subscriber.KnownPath, s.Broadcaster().ServeKnown)
-	router.Handle(subscriber.Path, s.Broadcaster())
+	router.HandleFunc(subscriber.Path, func(rw http.ResponseWriter, r *http.Request) {
+		s.Broadcaster().ServeHTTP(quietWriter{ResponseWriter: rw, host: e}, r)
+	})
 	e.server = &httptest.Server{Listener: listener, Config: &http.Server{Handler: router}}
 	e.server.Start()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/poplarhook/services/supplier/times.go
+++ b/poplarhook/services/supplier/times.go
@@ -25,10 +25,15 @@
 	// serving is how long a host that does not serve yet is asked again, each servingStep: when the source before it
 	// dies, it notices that as late as the asking one and then needs an answer of the store.
 	serving, servingStep time.Duration
-	// review is how often a host that follows the store looks whether another one should do so for it.
+	// review is how often a host looks whether a better source than its own serves.
 	review time.Duration
 }
 
+// beginning returns how long a new source may take to begin: one that does not serve yet, or an answer of the store.
+func (t times) beginning() time.Duration {
+	return t.silence + t.serving
+}
+
 // timesFor returns the times for a bound on the delay of changes; a bound above the reference changes nothing, since
 // nobody is served better by later news.
 func timesFor(bound time.Duration) times {
