Tell new readers first how far the store is, and give a silent source little time after a loss

Traced with the log of all hosts: a host that had just moved below another had heard no sign of life from it yet, so it did not know that the other one only passes views on, did not ask it again when the first host fell silent, and turned to the silent host, which accepted the connection and said nothing for 1.1 s. Change: the first line of a stream is a sign of life, with the number of hosts between.

--- a/poplarhook/services/broadcaster/broadcaster.go
+++ b/poplarhook/services/broadcaster/broadcaster.go
@@ -36,11 +36,13 @@
 	// sent counts what made it so.
 	known [][]byte
 	sent  int64
+	// pulse is the last sign of life, the first line of a new stream: it tells how far the store is.
+	pulse []byte
 }
 
 // New returns a Broadcaster that serves nobody until it is told to; whole gives everything known.
 func New(whole func() []frame.Frame, clock func() time.Time) *Broadcaster {
-	return &Broadcaster{whole: whole, clock: clock, readers: make(map[chan []byte]context.CancelFunc)}
+	return &Broadcaster{whole: whole, clock: clock, readers: make(map[chan []byte]context.CancelFunc), pulse: lineOf(frame.Frame{})}
 }
 
 // SetServing sets whether new readers are taken; those that read already stay.
@@ -56,17 +58,20 @@
 // TellLost tells readers that this host cannot hear the store, unless it serves.
 func (b *Broadcaster) TellLost() {
 	b.mu.Lock()
-	tell := !b.serving && !b.toldLost
-	b.toldLost = b.toldLost || tell
-	b.mu.Unlock()
-	if tell {
-		b.sendLine(lineOf(frame.Frame{Lost: true}))
+	defer b.mu.Unlock()
+	if !b.serving && !b.toldLost {
+		b.toldLost = true
+		b.push(lineOf(frame.Frame{Lost: true}))
 	}
 }
 
 // Pulse tells readers that the store is heard through as many hosts as given before this one's readers.
 func (b *Broadcaster) Pulse(hops int) {
-	b.sendLine(lineOf(frame.Frame{Hops: hops}))
+	line := lineOf(frame.Frame{Hops: hops})
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pulse = line
+	b.push(line)
 }
 
 // Close ends all streams for good.
@@ -111,13 +116,6 @@
 	b.push(lineOf(f))
 }
 
-// sendLine hands a line that says nothing of what is known to every reader.
-func (b *Broadcaster) sendLine(line []byte) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.push(line)
-}
-
 // push hands a line to every reader; the lock is held.
 func (b *Broadcaster) push(line []byte) {
 	for queue, cancel := range b.readers {
@@ -169,7 +167,7 @@
 func (b *Broadcaster) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	queue, ok := b.enter(cancel)
+	queue, pulse, ok := b.enter(cancel)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -185,7 +183,7 @@
 		_ = control.SetWriteDeadline(now.Add(writeTimeout))
 		return writeAll(w, lines) && control.Flush() == nil
 	}
-	if write(slices.Clone(b.lines())...) {
+	if write(slices.Insert(slices.Clone(b.lines()), 0, pulse)...) {
 		pump(ctx, queue, write)
 	}
 }
@@ -232,15 +230,16 @@
 	}
 }
 
-func (b *Broadcaster) enter(cancel context.CancelFunc) (chan []byte, bool) {
+// enter adds a reader, and returns its queue, its first line, and whether it may read.
+func (b *Broadcaster) enter(cancel context.CancelFunc) (queue chan []byte, pulse []byte, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.serving {
-		return nil, false
+		return nil, nil, false
 	}
-	queue := make(chan []byte, queueLength)
+	queue = make(chan []byte, queueLength)
 	b.readers[queue] = cancel
-	return queue, true
+	return queue, b.pulse, true
 }
 
 func (b *Broadcaster) leave(queue chan []byte) {
--- a/poplarhook/services/broadcaster/broadcaster_test.go
+++ b/poplarhook/services/broadcaster/broadcaster_test.go
@@ -20,6 +20,8 @@
 	*broadcaster.Broadcaster
 	url    string
 	wholes atomic.Int64
+	// first is the first line of the last stream.
+	first string
 }
 
 func newStation(t *testing.T) *station {
@@ -44,7 +46,9 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = response.Body.Close() })
 	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
-	return bufio.NewScanner(response.Body)
+	lines := bufio.NewScanner(response.Body)
+	s.first = next(t, lines)
+	return lines
 }
 
 func next(t *testing.T, lines *bufio.Scanner) string {
@@ -89,10 +93,18 @@
 	s := newStation(t)
 	s.SetGrace(time.Now().Add(time.Hour))
 	lines := s.read(t)
-	qt.Assert(t, next(t, lines), qt.Matches, `{"grace_ms":\d+}`)
+	qt.Assert(t, s.first, qt.Matches, `{"grace_ms":\d+}`)
+	qt.Assert(t, next(t, lines), qt.Equals, "{}")
 	qt.Assert(t, next(t, lines), qt.Equals, `{"feed":"endpoints","revision":1}`)
 }
 
+func TestANewStreamTellsFirstHowFarTheStoreIs(t *testing.T) {
+	s := newStation(t)
+	s.Pulse(3)
+	s.read(t)
+	qt.Assert(t, s.first, qt.Equals, `{"hops":3}`)
+}
+
 func TestAHostThatLostTheStoreServesNoNewReader(t *testing.T) {
 	s := newStation(t)
 	lines := s.read(t)
--- a/poplarhook/services/supplier/stream.go
+++ b/poplarhook/services/supplier/stream.go
@@ -34,7 +34,7 @@
 func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) {
 	startedAt := s.clock()
 	r := &stream{s: s, source: source, begun: begun}
-	err := r.subscribe(ctx, s.times.silence)
+	err := r.subscribe(ctx, s.firstLine())
 	if r.relayed && errors.Is(err, subscriber.ErrSilent) && ctx.Err() == nil {
 		// The other host has lost its source at the same moment and is about to hear the next one.
 		s.broadcaster.SetServing(false)
@@ -51,6 +51,17 @@
 	s.logger.Warn("entry host lost as a source", zap.String("source", source.ID), zap.String("error", err.Error()))
 }
 
+// firstLine returns how long the first line of a source may take: a host that has just lost another one has no time left
+// for a source that accepts connections but says nothing.
+func (s *Supplier) firstLine() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failures > 0 {
+		return s.times.serving
+	}
+	return s.times.silence
+}
+
 // subscribe reads the stream of the host, waiting for a short time until it serves; the first line must come within the
 // given time.
 func (r *stream) subscribe(ctx context.Context, first time.Duration) error {
