--- a/poplarhook/models/view/view.go
+++ b/poplarhook/models/view/view.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"poplarhook.example/lib/change"
@@ -33,6 +35,22 @@
 	return next
 }
 
+// ChangesTo returns what makes the items of this view those of the other one, in the order of their names; items that are
+// the same in both are among it.
+func (v View[T]) ChangesTo(other View[T]) []change.Change[T] {
+	changes := make([]change.Change[T], 0, len(other.Items))
+	for name, value := range other.Items {
+		changes = append(changes, change.Change[T]{Name: name, Value: value})
+	}
+	for name := range v.Items {
+		if _, still := other.Items[name]; !still {
+			changes = append(changes, change.Change[T]{Name: name, Removed: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change.Change[T]) int { return strings.Compare(a.Name, b.Name) })
+	return changes
+}
+
 // Merge returns the newer of two views and whether that is the other one.
 //
 // Changes may come on top of an older view than this one: those that this view
--- a/poplarhook/services/shelf/shelf_test.go
+++ b/poplarhook/services/shelf/shelf_test.go
@@ -44,3 +44,31 @@
 	s.Put(view.View[int]{Revision: 11, Changed: []change.Change[int]{{Name: "a", Value: 4}}})
 	qt.Assert(t, s.Get().Items["a"], qt.Equals, 1)
 }
+
+func TestANewerListTellsOnlyWhatDiffers(t *testing.T) {
+	s := newTold()
+	s.Put(view.View[int]{Revision: 12, Items: map[string]int{"a": 3, "c": 4}})
+	qt.Assert(t, s.changes, qt.DeepEquals, []change.Change[int]{{Name: "b", Removed: true}, {Name: "c", Value: 4}})
+	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 1, "c": 4})
+	qt.Assert(t, s.Get().Revision, qt.Equals, int64(12))
+}
+
+func TestAListWithoutNewsIsNotTold(t *testing.T) {
+	s := newTold()
+	s.Put(view.View[int]{Revision: 12, Items: map[string]int{"a": 1, "b": 2}})
+	qt.Assert(t, s.calls, qt.Equals, 0)
+	qt.Assert(t, s.Get().Revision, qt.Equals, int64(12))
+}
+
+func TestAListOfTheSameRevisionMends(t *testing.T) {
+	s := newTold()
+	s.Put(view.View[int]{Revision: 10, Items: map[string]int{"a": 1}})
+	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 1})
+}
+
+func TestAnOlderListIsLeftOut(t *testing.T) {
+	s := newTold()
+	s.Put(view.View[int]{Revision: 9, Items: map[string]int{"a": 1}})
+	qt.Assert(t, s.calls, qt.Equals, 0)
+	qt.Assert(t, s.Get().Items, qt.HasLen, 2)
+}
