Pack long lists that hosts tell each other

Ruled out: a list of the own region only (placing needs the endpoints of the others when the own region is late); leaving out fields (the packed text hardly shrinks by that). Change: items from 32 KB on are compressed with DEFLATE; shorter ones stay plain, since packing takes about a megabyte for a moment. Tests: models/frame.

--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -1,6 +1,8 @@
 package frame
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/json"
 	"time"
 
@@ -17,6 +19,8 @@
 	Revision int64           `json:"revision,omitempty"`
 	Items    json.RawMessage `json:"items,omitempty"`
 	Changes  json.RawMessage `json:"changes,omitempty"`
+	// Packed is the items compressed with DEFLATE, in place of Items.
+	Packed []byte `json:"packed,omitempty"`
 	// GraceMS is how much longer entries that lapsed while the store was away may come back, in milliseconds.
 	GraceMS int64 `json:"grace_ms,omitempty"`
 	// Hops is, in a sign of life, through how many hosts the sender hears the store.
@@ -25,26 +29,53 @@
 	Lost bool `json:"lost,omitempty"`
 }
 
+// packFrom is from what size on items are packed, in bytes: to pack takes about a megabyte of memory for a moment, which
+// pays for lists of more than some hundred endpoints.
+const packFrom = 32 << 10
+
 // New returns the frame of a view: its changes if it has any, else all its items.
 func New[T any](feed string, v view.View[T]) (Frame, error) {
 	f := Frame{Feed: feed, Revision: v.Revision}
 	var err error
 	if v.Changed != nil {
 		f.Changes, err = json.Marshal(v.Changed)
-	} else {
-		f.Items, err = json.Marshal(v.Items)
+		return f, errors.Wrapf(err, "encode changes of %s", feed)
+	}
+	f.Items, err = json.Marshal(v.Items)
+	if err == nil && len(f.Items) >= packFrom {
+		f.Packed, err = pack(f.Items)
+		f.Items = nil
 	}
 	return f, errors.Wrapf(err, "encode %s", feed)
 }
 
+// pack compresses a text.
+func pack(text []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	err = w.Close()
+	return packed.Bytes(), errors.Wrap(err, "pack")
+}
+
 // View returns the view that the frame holds.
 func View[T any](f Frame, now time.Time) (view.View[T], error) {
 	v := view.View[T]{Revision: f.Revision, HeardAt: now}
-	if f.Changes == nil {
+	switch {
+	case f.Changes != nil:
+		v.Changed = []change.Change[T]{}
+		return v, errors.Wrapf(json.Unmarshal(f.Changes, &v.Changed), "changes of %s", f.Feed)
+	case f.Packed != nil:
+		unpacked := json.NewDecoder(flate.NewReader(bytes.NewReader(f.Packed)))
+		return v, errors.Wrapf(unpacked.Decode(&v.Items), "packed items of %s", f.Feed)
+	default:
 		return v, errors.Wrapf(json.Unmarshal(f.Items, &v.Items), "items of %s", f.Feed)
 	}
-	v.Changed = []change.Change[T]{}
-	return v, errors.Wrapf(json.Unmarshal(f.Changes, &v.Changed), "changes of %s", f.Feed)
 }
 
 // IsPulse reports whether the frame is a sign of life.
--- /dev/null
+++ b/poplarhook/models/frame/frame_test.go
@@ -0,0 +1,69 @@
+package frame_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/change"
+	"poplarhook.example/lib/host"
+	"poplarhook.example/poplarhook/models/frame"
+	"poplarhook.example/poplarhook/models/view"
+)
+
+// endpoints returns as many endpoints as given.
+func endpoints(count int) map[string]host.Host {
+	items := make(map[string]host.Host, count)
+	for i := range count {
+		id := fmt.Sprintf("i-%08x", i*2654435761)
+		items[id] = host.Host{
+			ID: id, Role: host.RoleEndpoint, Service: "s", Region: "r", AvailabilityZone: "z", Slots: 2, State: host.StateLive,
+			Address: fmt.Sprintf("127.0.0.%d:%d", i%250, 1000+i), Incarnation: fmt.Sprintf("%s/%d", id, 1775444812010+i),
+		}
+	}
+	return items
+}
+
+// send returns the view as a reader of its line gets it, and the length of the line in bytes.
+func send(t *testing.T, v view.View[host.Host]) (view.View[host.Host], int) {
+	t.Helper()
+	f, err := frame.New("endpoints", v)
+	qt.Assert(t, err, qt.IsNil)
+	line, err := json.Marshal(f)
+	qt.Assert(t, err, qt.IsNil)
+	var got frame.Frame
+	qt.Assert(t, json.Unmarshal(line, &got), qt.IsNil)
+	back, err := frame.View[host.Host](got, time.Time{})
+	qt.Assert(t, err, qt.IsNil)
+	return back, len(line)
+}
+
+func TestAViewArrivesAsItWasSent(t *testing.T) {
+	for _, v := range []view.View[host.Host]{
+		{Revision: 3, Items: endpoints(0)},
+		{Revision: 3, Items: endpoints(5)},
+		{Revision: 3, Items: endpoints(1000)},
+		{Revision: 4, Changed: []change.Change[host.Host]{{Name: "a", Value: host.Host{ID: "a"}}, {Name: "b", Removed: true}}},
+		{Revision: 5, Changed: []change.Change[host.Host]{}},
+	} {
+		got, _ := send(t, v)
+		qt.Assert(t, got, qt.DeepEquals, v)
+	}
+}
+
+func TestLongListsAreSentShort(t *testing.T) {
+	const count = 3000
+	plain, err := json.Marshal(endpoints(count))
+	qt.Assert(t, err, qt.IsNil)
+	_, length := send(t, view.View[host.Host]{Revision: 1, Items: endpoints(count)})
+	t.Logf("%d bytes for %d", length, len(plain))
+	qt.Assert(t, length < len(plain)/3, qt.IsTrue)
+}
+
+func TestASpoiledListIsAnError(t *testing.T) {
+	_, err := frame.View[host.Host](frame.Frame{Feed: "endpoints", Packed: []byte("spoiled")}, time.Time{})
+	qt.Assert(t, err, qt.ErrorMatches, "packed items of endpoints: .*")
+}
