--- a/spec/run.sh
+++ b/spec/run.sh
@@ -22,6 +22,8 @@
 		once -DONCE=2 holds
 		once -DSENDS=1,-DENDPOINTS=1 holds
 		supply -DCHANGES=4,-DSWITCHES=2 holds
+		relay -DN=3,-DMAXHOPS=2,-DEVENTS=6 holds
+		relay -DN=4,-DMAXHOPS=2,-DEVENTS=4 holds
 		lease -DTTL=2 SEED_TERM_FROM_REPLY
 		lease -DTTL=2 SEED_NO_DEADLINE_WAIT
 		lease -DTTL=2 SEED_NO_CHECK_BEFORE_SENDING
@@ -38,6 +40,8 @@
 		supply -DCHANGES=3 SEED_HIGHEST_REVISION
 		supply -DCHANGES=3 SEED_BASE_OF_THE_LAST_LIST
 		supply -DCHANGES=3 SEED_TAKE_WHAT_COMES
+		relay -DN=3,-DMAXHOPS=2,-DEVENTS=6 SEED_NO_BOUND_ON_HOPS
+		relay -DN=3,-DMAXHOPS=2,-DEVENTS=6 SEED_OWN_SIGNS_OF_LIFE
 		once -DREQUESTS=1 SEED_HEDGE_ONCE_ONLY
 		once -DREQUESTS=1 SEED_RETRY_AFTER_PARTIAL_WRITE
 		once -DREQUESTS=1 SEED_LATE_IS_NOT_RUN
@@ -104,7 +108,7 @@
 export -f check
 
 # Every seed in a model is checked.
-for model in lease configuration once supply; do
+for model in lease configuration once supply relay; do
 	for seed in $(grep -oE 'SEED_[A-Z_]+' "$model.pml" | sort -u); do
 		checks | grep -q "^$model .* $seed\$" || { echo "spec: $seed of $model.pml is not checked" >&2; exit 1; }
 	done
