Let poplarctl show what the gateway's hosts run, and compare two versions of the configuration

Cause: status, dump and comparison of versions were there for poplarhook serve only; for a gateway an operator had to read the dump of one host after the other. Change: the gateway answers /v1/status (it asks every host at that moment), /v1/config and /v1/changes (the last eight configurations) and /debug/state, so that poplarctl works with it; config diff compares two revisions that a host keeps. Left out: zone list and config apply, which are the platform's there.

--- a/poplarctl/cmd/cmd_test.go
+++ b/poplarctl/cmd/cmd_test.go
@@ -49,7 +49,12 @@
 	case "/v1/config":
 		doc, err := parser.New().Parse([]byte(shop))
 		qt.Check(f.t, err, qt.IsNil)
-		f.answer(w, snapshot.Snapshot{Revision: 4, Documents: []document.Document{doc}, ZonesOut: []string{"fuerth"}})
+		snap := snapshot.Snapshot{Revision: 4, Documents: []document.Document{doc}, ZonesOut: []string{"fuerth"}}
+		if r.URL.Query().Get("revision") == "3" {
+			doc.Classes[0].DeadlineMS = 400
+			snap = snapshot.Snapshot{Revision: 3, Documents: []document.Document{doc}}
+		}
+		f.answer(w, snap)
 	case "/v1/status":
 		f.answer(w, status.Status{
 			HostID: "entry-1", Revision: 5,
@@ -126,6 +131,8 @@
 		{"config show --yaml", `(?s)team: shop\nclasses:\n.*deadline_ms: 500\n.*`},
 		{"config diff -", "0 differences from revision 4 for team shop\n"},
 		{"config diff " + file, `(?s)1 differences .*\nlookups +deadline_ms +500 +900\n`},
+		{"config diff --from 3", `(?s)1 differences from revision 3 to 4\nCLASS +FIELD +FROM +TO\nlookups +deadline_ms +400 +500\n`},
+		{"config diff --from 4 --to 3", `(?s)1 differences from revision 4 to 3\n.*lookups +deadline_ms +500 +400\n`},
 		{"config history", `(?s)REVISION.*\n4 +0001-01-01T00:00:00Z +shop +change-0004 +document of shop\n`},
 		{"zone list", `(?s)ZONE .*\nfuerth +franken +out\n`},
 		{"status", `(?s)entry-1 runs revision 5; endpoints: 1 warm, 1 cold, .*\nentry-1 +- +- +live +5 +-\nENDPOINT.*\nstock-1 +- +- +- +cold +restarted\n`},
@@ -199,3 +206,18 @@
 	_, err = run(t, "zone", "out", "fuerth", "--wait", "--timeout", "300ms", "--change-id", "change-0002")
 	qt.Assert(t, cmd.ExitCode(err), qt.Equals, cmd.ExitWaiting, qt.Commentf("%v", err))
 }
+
+func TestRevisionsThatCannotBeCompared(t *testing.T) {
+	start(t)
+	for arguments, want := range map[string]string{
+		"config diff":                 ".*a FILE or --from is required.*",
+		"config diff --to 3":          ".*--from must be a revision above 0.*",
+		"config diff --from -1":       ".*--from must be a revision above 0.*",
+		"config diff --from 3 -":      ".*without a FILE.*",
+		"config diff --from 2":        "the entry host keeps no revision but 4, which is in force",
+		"config diff --from 3 --to 1": "the entry host keeps no revision but 4, which is in force",
+	} {
+		_, err := run(t, strings.Fields(arguments)...)
+		qt.Check(t, err, qt.ErrorMatches, want, qt.Commentf("%s", arguments))
+	}
+}
--- a/poplarhook/services/gateway/dump.go
+++ b/poplarhook/services/gateway/dump.go
@@ -1,17 +1,17 @@
 package gateway
 
 import (
-	"encoding/json"
 	"net/http"
 	"slices"
 
-	"go.uber.org/zap"
-
 	"poplarhook.example/poplarhook/models/belief"
 )
 
-// DumpPath is where the state of the process is told on request.
-const DumpPath = "/v1/dump"
+// DumpPath is where the state of the process is told on request, statePath where poplarctl asks for it.
+const (
+	DumpPath  = "/v1/dump"
+	statePath = "/debug/state"
+)
 
 // Dump returns what this host knows now.
 func (g *Gateway) Dump() belief.Belief {
@@ -36,8 +36,5 @@
 }
 
 func (g *Gateway) serveDump(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(g.Dump()); err != nil {
-		g.logger.Warn("dump broke off", zap.String("error", err.Error()))
-	}
+	g.answerJSON(w, g.Dump())
 }
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/ranker"
 	"poplarhook.example/lib/snapshot"
+	"poplarhook.example/poplarhook/models/archiver"
 	"poplarhook.example/poplarhook/models/divider"
 	"poplarhook.example/poplarhook/models/lapsekeeper"
 	"poplarhook.example/poplarhook/models/view"
@@ -24,6 +25,7 @@
 	"poplarhook.example/poplarhook/routers/caller"
 	"poplarhook.example/poplarhook/services/allowance"
 	"poplarhook.example/poplarhook/services/dispatcher"
+	"poplarhook.example/poplarhook/services/inspector"
 	"poplarhook.example/poplarhook/services/locator"
 	"poplarhook.example/poplarhook/services/seconder"
 	"poplarhook.example/poplarhook/services/sender"
@@ -46,6 +48,8 @@
 	supplier   *supplier.Supplier
 	repeats    *allowance.Allowance
 	dispatcher *dispatcher.Dispatcher
+	inspector  *inspector.Inspector
+	archive    *archiver.Archiver
 	callers    http.Handler
 	draining   atomic.Bool
 	// heard says that the views below are kept up to date.
@@ -57,6 +61,8 @@
 	region atomic.Pointer[ranker.Ranker]
 
 	mu sync.Mutex
+	// members are the entry hosts of the platform.
+	members []host.Host
 	// endpoints, configuration and zonesOut are what was last heard.
 	endpoints     view.View[host.Host]
 	lapses        *lapsekeeper.Keeper
@@ -89,6 +95,8 @@
 		meter:     m,
 		places:    locator.New(d.Region),
 		lapses:    lapsekeeper.New(),
+		inspector: inspector.New(inspector.WithLogger(logger)),
+		archive:   archiver.New(),
 	}
 	g.deployment.Store(&d)
 	alone := ranker.New(d.HostID)
@@ -170,6 +178,7 @@
 		Region:           d.Region,
 		AvailabilityZone: d.AvailabilityZone,
 		PeerAddress:      d.PeerListen,
+		AdminAddress:     d.AdminAddress(),
 		Capacity:         d.Capacity(),
 		State:            host.StateLive,
 	}
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -11,6 +11,7 @@
 	"poplarhook.example/lib/pauser"
 	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/server"
+	"poplarhook.example/poplarhook/services/inspector"
 	"poplarhook.example/poplarhook/services/subscriber"
 )
 
@@ -87,6 +88,10 @@
 	router := mux.NewRouter()
 	router.Handle("/metrics", g.meter.Handler()).Methods(http.MethodGet)
 	router.HandleFunc(DumpPath, g.serveDump).Methods(http.MethodGet)
+	router.HandleFunc(statePath, g.serveDump).Methods(http.MethodGet)
+	router.HandleFunc("/v1/status", g.serveStatus).Methods(http.MethodGet)
+	router.HandleFunc("/v1/config", g.serveConfiguration).Methods(http.MethodGet)
+	router.HandleFunc("/v1/changes", g.serveChanges).Methods(http.MethodGet)
 	return router
 }
 
@@ -95,5 +100,6 @@
 	router := mux.NewRouter()
 	router.Handle(subscriber.Path, g.supplier.Broadcaster()).Methods(http.MethodGet)
 	router.HandleFunc(subscriber.KnownPath, g.supplier.Broadcaster().ServeKnown).Methods(http.MethodGet)
+	router.HandleFunc(inspector.Path, g.serveRunning).Methods(http.MethodGet)
 	return router
 }
--- a/poplarhook/services/gateway/views.go
+++ b/poplarhook/services/gateway/views.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +28,9 @@
 	}
 	region := ranker.New(ids...)
 	g.region.Store(&region)
+	g.mu.Lock()
+	g.members = slices.Collect(maps.Values(v.Items))
+	g.mu.Unlock()
 	g.hosts.Store(int64(hosts))
 	g.repeats.SetMinimum(int(g.deployment.Load().Bounds.RetrySlack * retrySlackUsed / float64(hosts)))
 	g.logger.Info("entry hosts known", zap.Int("hosts", hosts), zap.Int("in_region", len(ids)), zap.Int64("store_revision", v.Revision))
@@ -40,6 +45,7 @@
 			continue
 		}
 		g.configuration = one
+		g.archive.Add(g.clock(), one)
 		g.applyConfiguration()
 		g.applyEndpoints()
 		g.logger.Info("configuration in force", zap.Int64("version", one.Revision), zap.Int64("store_revision", v.Revision),
