Take the first configuration at once when callers are there already

Load: all hosts are killed at once and start again under traffic. Ruled out: the time to start (1.1 s, the platform's), the store's answers (10 ms). Change: a request that comes before the first configuration tells the supplier to hurry: it follows the store itself unless another host serves, and moves to a better source later; the request waits for that, 150 ms at most. Tests: TestARequestThatComesBeforeTheConfigurationIsAnswered (503 before), TestAHostInAHurryDoesNotWaitForTheFirstInRank.

--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -39,6 +39,8 @@
 type Caller struct {
 	clock      func() time.Time
 	classifier func() classifier
+	// start waits for the first configuration, for as long as that may be worth it.
+	start func(ctx context.Context)
 	dispatcher dispatcher
 	maxBody    func() int64
 	places     chan struct{}
@@ -101,6 +103,11 @@
 	return func(c *Caller) { c.isAmbiguous = isAmbiguous }
 }
 
+// WithStart sets what a request waits for that came before there is a configuration.
+func WithStart(wait func(ctx context.Context)) Option {
+	return func(c *Caller) { c.start = wait }
+}
+
 // WithMaxRequests sets how many requests may be under way at once.
 func WithMaxRequests(n int) Option {
 	return func(c *Caller) { c.places = make(chan struct{}, n) }
@@ -125,6 +132,7 @@
 		dialect:    ownDialect{},
 		divider:    func(c class.Class) class.Class { return c },
 		logger:     zap.NewNop(),
+		start:      func(context.Context) {},
 
 		isAmbiguous: func(context.Context) bool { return false },
 	}
@@ -184,6 +192,10 @@
 		j.ID = uuid.NewString()
 	}
 	inForce := c.classifier()
+	if inForce == nil {
+		c.start(r.Context())
+		inForce = c.classifier()
+	}
 	if inForce == nil {
 		return j, refusal.NotRun(http.StatusServiceUnavailable, "no configuration is in force yet").WithRetryAfter(unconfiguredWait)
 	}
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -52,6 +52,9 @@
 	archive    *archiver.Archiver
 	callers    http.Handler
 	draining   atomic.Bool
+	// configured is closed once there are a configuration and endpoints.
+	configured    chan struct{}
+	setConfigured func()
 	// heard says that the views below are kept up to date.
 	heard atomic.Bool
 	// hosts and listed are how many entry hosts and endpoints there are.
@@ -97,7 +100,10 @@
 		lapses:    lapsekeeper.New(),
 		inspector: inspector.New(inspector.WithLogger(logger)),
 		archive:   archiver.New(),
+
+		configured: make(chan struct{}),
 	}
+	g.setConfigured = sync.OnceFunc(func() { close(g.configured) })
 	g.deployment.Store(&d)
 	alone := ranker.New(d.HostID)
 	g.region.Store(&alone)
@@ -151,6 +157,7 @@
 		caller.WithLogger(g.logger),
 		caller.WithBodyLimit(g.bodyLimit),
 		caller.WithScreen(screener.IsAmbiguous),
+		caller.WithStart(g.awaitConfiguration),
 		caller.WithCounter(g.meter.CountRequest))
 }
 
@@ -207,8 +214,31 @@
 	g.deployment.Store(&next)
 }
 
+// configurationWait is how long a request waits for the first configuration: a host that needs it at once takes it from
+// the store, which answers in some 10 ms, 100 ms when it is slow.
+const configurationWait = 150 * time.Millisecond
+
+// awaitConfiguration has the first configuration taken without delay, as callers are there, and waits for it.
+//
+// It answers the load of a host that gets requests from its start on, after all hosts were lost at once.
+func (g *Gateway) awaitConfiguration(ctx context.Context) {
+	g.supplier.Hurry()
+	timer := time.NewTimer(configurationWait)
+	defer timer.Stop()
+	select {
+	case <-g.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // isReady reports whether the host should get new connections.
 func (g *Gateway) isReady() bool {
+	return g.isConfigured() && !g.draining.Load()
+}
+
+// isConfigured reports whether there are a configuration and endpoints.
+func (g *Gateway) isConfigured() bool {
 	_, configured := g.places.Snapshot()
-	return configured && !g.draining.Load() && len(g.places.Groups()) > 0
+	return configured && len(g.places.Groups()) > 0
 }
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -66,10 +66,13 @@
 	return l
 }
 
-// newWorld starts a gateway before it has a configuration.
-func newWorld(t *testing.T, endpoints int) *world {
+// newWorld starts a gateway before it has a configuration, unless the store is filled with one.
+func newWorld(t *testing.T, endpoints int, fill ...func(s *imitator.Store)) *world {
 	t.Helper()
 	w := &world{t: t, store: imitator.NewStore()}
+	for _, one := range fill {
+		one(w.store)
+	}
 	store := httptest.NewServer(w.store)
 	for i := range endpoints {
 		e := imitator.NewEndpoint(fmt.Sprintf("endpoint-%d", i))
@@ -244,6 +247,17 @@
 	c.Assert(got.header.Get("Response-Signature"), qt.Equals, "")
 }
 
+// All hosts were lost at once and start again, the source of the region last, while callers send.
+func TestARequestThatComesBeforeTheConfigurationIsAnswered(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, func(s *imitator.Store) {
+		s.Put(feed.KindMembers, "late", host.Host{ID: "late", Region: region, PeerAddress: "127.0.0.1:1", Capacity: 9})
+		s.PutConfiguration(2, classes(), []service.Service{{Name: "stock", HealthPath: "/health", Connections: 100, ColdPerSecond: 5}})
+	})
+	got := w.send(http.MethodGet, "/lookup/1", "r1", "")
+	qt.Assert(t, got.status, qt.Equals, http.StatusOK)
+}
+
 func TestPathsSelectTheLongestPrefix(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/poplarhook/services/gateway/views.go
+++ b/poplarhook/services/gateway/views.go
@@ -115,4 +115,7 @@
 	g.listed.Store(int64(len(g.used)))
 	g.sender.Retain(d.Endpoints())
 	g.surveyor.Retain(d.Endpoints())
+	if g.isConfigured() {
+		g.setConfigured()
+	}
 }
--- a/poplarhook/services/supplier/relay_test.go
+++ b/poplarhook/services/supplier/relay_test.go
@@ -126,3 +126,14 @@
 	w.all(10*time.Second, "the configuration from the store itself", hasVersion(1))
 	qt.Assert(t, e.isHeard(), qt.IsTrue)
 }
+
+// The first in rank may start later than the others, or not at all.
+func TestAHostInAHurryDoesNotWaitForTheFirstInRank(t *testing.T) {
+	w := newWorld(t, 0)
+	w.store.Put(feed.KindMembers, "late", host.Host{ID: "late", Region: "region", PeerAddress: "127.0.0.1:1", Capacity: 9})
+	e := w.start("host-0")
+	startedAt := time.Now()
+	e.supplier.Hurry()
+	w.all(time.Second, "the configuration", hasVersion(1))
+	qt.Assert(t, time.Since(startedAt) < 300*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(startedAt)))
+}
--- a/poplarhook/services/supplier/spell.go
+++ b/poplarhook/services/supplier/spell.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/host"
-	"poplarhook.example/lib/pauser"
 )
 
 // spell is a time in which this host hears the store in one way: itself, or through another host.
@@ -38,15 +37,26 @@
 
 // hasBegun waits for the begin of the spell, and reports whether it came before its end and within the limit.
 func (p *spell) hasBegun(limit time.Duration) bool {
+	return p.hasBegunBefore(limit, nil)
+}
+
+// hasBegunBefore waits as hasBegun does, but only a little longer once the other channel is closed.
+func (p *spell) hasBegunBefore(limit time.Duration, hurried <-chan struct{}) bool {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	select {
-	case <-p.begun:
-		return true
-	case <-p.ended:
-	case <-timer.C:
+	for {
+		select {
+		case <-p.begun:
+			return true
+		case <-p.ended:
+			return false
+		case <-timer.C:
+			return false
+		case <-hurried:
+			hurried = nil
+			timer.Reset(min(limit, hurriedWait))
+		}
 	}
-	return false
 }
 
 // end ends the spell.
@@ -70,8 +80,36 @@
 	// need some time to find each other.
 	joinTime = 700 * time.Millisecond
 	joinStep = 100 * time.Millisecond
+	// hurriedWait is how much longer a host waits for a source once it needs its views at once: one that serves does so
+	// within a few milliseconds.
+	hurriedWait = 30 * time.Millisecond
 )
 
+// Hurry tells that this host needs its views at once: it follows the store itself unless another host serves.
+func (s *Supplier) Hurry() {
+	s.hurry()
+}
+
+// isHurried reports whether this host needs its views at once.
+func (s *Supplier) isHurried() bool {
+	select {
+	case <-s.hurried:
+		return true
+	default:
+		return false
+	}
+}
+
+// pauseJoining waits for the next try to join, unless the host needs its views at once.
+func (s *Supplier) pauseJoining(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, joinStep)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-s.hurried:
+	}
+}
+
 // join looks for a host that serves before this one follows the store itself.
 func (s *Supplier) join(ctx context.Context) *spell {
 	until := s.clock().Add(joinTime)
@@ -80,16 +118,19 @@
 		source := s.choose()
 		if source.ID != s.self.ID {
 			p := s.begin(ctx, source)
-			if p.hasBegun(s.times.beginning()) {
+			if p.hasBegunBefore(s.times.beginning(), s.hurried) {
 				return p
 			}
 			p.end()
 		}
 		s.forgive()
+		if s.isHurried() {
+			return s.begin(ctx, s.self)
+		}
 		if source.ID == s.self.ID && len(s.members.Get().Items) > 1 {
 			break
 		}
-		_ = pauser.Pause(ctx, joinStep)
+		s.pauseJoining(ctx)
 	}
 	return s.begin(ctx, s.choose())
 }
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -72,6 +72,9 @@
 	times       times
 	lapseGrace  time.Duration
 	fanout      int
+	// hurried is closed once this host needs its views at once, by hurry.
+	hurried chan struct{}
+	hurry   func()
 
 	configuration *shelf.Shelf[snapshot.Snapshot]
 	endpoints     *shelf.Shelf[host.Host]
@@ -141,7 +144,9 @@
 		watchWait: maxWatchWait,
 		fanout:    fanout,
 		penalties: make(map[string]penalty),
+		hurried:   make(chan struct{}),
 	}
+	s.hurry = sync.OnceFunc(func() { close(s.hurried) })
 	for _, option := range options {
 		option(s)
 	}
