--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -40,7 +40,7 @@
 	clock      func() time.Time
 	classifier func() classifier
 	// start waits for the first configuration, for as long as that may be worth it.
-	start func(ctx context.Context)
+	start      func(ctx context.Context)
 	dispatcher dispatcher
 	maxBody    func() int64
 	places     chan struct{}
