Ask six familiar endpoints at once where the own region has none

Load: work that may only be served in other regions. Cause: three looks only, at twelve familiar endpoints, so many looks and sends paid for a new connection over 24 ms. Change: where the own region has no open endpoint, a host keeps six familiar endpoints in the others and asks all of them at once. Test: TestWithoutEndpointsInTheOwnRegionSixFamiliarOnesAreAskedAtOnce.

--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,8 +19,11 @@
 const (
 	// looksAtOnce is how many endpoints are asked together, the best of three, four and five (docs/MEASURES.md).
 	looksAtOnce = 4
-	// farLooks is how many endpoints of other regions are asked, where bytes cost most.
+	// farLooks is how many endpoints of other regions are asked when the own region is late, where bytes cost most.
 	farLooks = 3
+	// awayLooks is how many are asked, all at once, when the own region has no endpoint that may serve: each round of looks
+	// takes the way there and back, so there is one only.
+	awayLooks = 6
 	// sendWithin is how long a choice holds; new connections count.
 	sendWithin = 300 * time.Millisecond
 	// relook is the pause before endpoints that were all full are looked at again.
@@ -100,10 +104,10 @@
 		candidates := s.rank(w, t)
 		if t.far {
 			// Each look at another region takes its way, so only the likeliest are worth one.
-			candidates = candidates[:min(farLooks, len(candidates))]
+			candidates = candidates[:min(t.looks, len(candidates))]
 		}
 		for len(candidates) > 0 && ctx.Err() == nil {
-			n := min(looksAtOnce, len(candidates))
+			n := min(t.looks, len(candidates))
 			for _, c := range s.look(ctx, w, candidates[:n]) {
 				if !found || c.estimate < best.estimate {
 					best, found = c, true
@@ -125,6 +129,10 @@
 	unfamiliar bool
 	// far says that the endpoints are in other regions.
 	far bool
+	// looks is how many endpoints are asked together.
+	looks int
+	// familiar is how many endpoints this host usually asks.
+	familiar int
 }
 
 // tiers returns the parts of the request's endpoints, the likeliest first.
@@ -137,7 +145,21 @@
 		}
 		others = append(others, g)
 	}
-	return []tier{{groups: own}, {groups: own, unfamiliar: true}, {groups: others, far: true}}
+	if !s.hasOpen(own) {
+		// As few familiar endpoints as looks, so that connections to them are there.
+		return []tier{{groups: others, far: true, looks: awayLooks, familiar: awayLooks}}
+	}
+	return []tier{
+		{groups: own, looks: looksAtOnce, familiar: familiar},
+		{groups: own, looks: looksAtOnce, familiar: familiar, unfamiliar: true},
+		{groups: others, far: true, looks: farLooks, familiar: familiar},
+	}
+}
+
+// hasOpen reports whether any of the groups has an endpoint that may get work.
+func (s *Surveyor) hasOpen(groups []group.Group) bool {
+	now := s.clock()
+	return slices.ContainsFunc(groups, func(g group.Group) bool { return len(s.source.OpenEndpoints(now, g)) > 0 })
 }
 
 // isGood reports whether the endpoint should answer before the request's target.
--- a/poplarhook/services/surveyor/familiar_test.go
+++ b/poplarhook/services/surveyor/familiar_test.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// Work whose homes are other regions has its answer later by each round of looks.
+func TestWithoutEndpointsInTheOwnRegionSixFamiliarOnesAreAskedAtOnce(t *testing.T) {
+	w := newWorld()
+	for i := range 20 {
+		w.add(other, fmt.Sprintf("away-%d", i), idle(1))
+	}
+	s := newSurveyor(t, w)
+	for range 50 {
+		s.Finish(bind(t, s), idle(1))
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	qt.Assert(t, w.looks, qt.HasLen, 6)
+}
+
 func TestOthersAreAskedWhenTheFamiliarOnesAreFull(t *testing.T) {
 	w := newWorld()
 	usual := w.crowd(40, func(usual bool) report.Report {
--- a/poplarhook/services/surveyor/rank.go
+++ b/poplarhook/services/surveyor/rank.go
@@ -34,7 +34,7 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	options, least := s.options(now, w, t.groups)
+	options, least := s.options(now, w, t)
 	candidates := make([]candidate, 0, familiar)
 	for _, o := range options {
 		if isFamiliar := o.known.weight >= least; isFamiliar != t.unfamiliar {
@@ -48,9 +48,9 @@
 
 // options returns the endpoints of the groups that may get work, and the least weight of those that this host usually
 // asks; those that failed or left a look unanswered a moment ago are returned only if no other is left. The lock is held.
-func (s *Surveyor) options(now time.Time, w wish.Wish, groups []group.Group) (options []option, least uint64) {
+func (s *Surveyor) options(now time.Time, w wish.Wish, t tier) (options []option, least uint64) {
 	var sound, passedOver []option
-	for _, g := range groups {
+	for _, g := range t.groups {
 		open := s.source.OpenEndpoints(now, g)
 		for i := range open {
 			h := &open[i]
@@ -64,19 +64,19 @@
 			}
 		}
 	}
-	least = leastFamiliar(sound, passedOver)
+	least = leastFamiliar(t.familiar, sound, passedOver)
 	if len(sound) > 0 {
 		return sound, least
 	}
 	return passedOver, least
 }
 
-// leastFamiliar returns the least weight of the endpoints that this host usually asks.
+// leastFamiliar returns the least weight of the given number of endpoints that this host usually asks.
 //
 // Each host has its own choice, of as many as it can keep connections to; all
 // hosts together choose each endpoint about equally often.
-func leastFamiliar(sound, passedOver []option) uint64 {
-	if len(sound)+len(passedOver) <= familiar {
+func leastFamiliar(count int, sound, passedOver []option) uint64 {
+	if len(sound)+len(passedOver) <= count {
 		return 0
 	}
 	weights := make([]uint64, 0, len(sound)+len(passedOver))
@@ -87,7 +87,7 @@
 		weights = append(weights, o.known.weight)
 	}
 	slices.Sort(weights)
-	return weights[len(weights)-familiar]
+	return weights[len(weights)-count]
 }
 
 // candidateOf estimates an endpoint by what is known without a look. The lock is held.
