Look past familiar endpoints of other regions that fail, and drop the try of a better source when the present one is lost

The others of those regions are now looked at if no endpoint has answered. Test: TestOthersOfOtherRegionsAreAskedWhenTheFamiliarOnesFail, refused before. 2. A host that tried a better source, which accepted the connection and said nothing, did not notice for 1.1 s that its present source was lost. The type option of the surveyor is called contender: it was no functional option.

--- a/poplarhook/services/supplier/spell.go
+++ b/poplarhook/services/supplier/spell.go
@@ -42,7 +42,7 @@
 }
 
 // hasBegunBefore waits as hasBegun does, but only a little longer once the other channel is closed.
-func (p *spell) hasBegunBefore(limit time.Duration, hurried <-chan struct{}) bool {
+func (p *spell) hasBegunBefore(limit time.Duration, urgent <-chan struct{}) bool {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
@@ -53,8 +53,8 @@
 			return false
 		case <-timer.C:
 			return false
-		case <-hurried:
-			hurried = nil
+		case <-urgent:
+			urgent = nil
 			timer.Reset(min(limit, hurriedWait))
 		}
 	}
@@ -177,7 +177,7 @@
 		return current
 	}
 	next := s.begin(ctx, better)
-	if !next.hasBegun(s.times.beginning()) {
+	if !next.hasBegunBefore(s.times.beginning(), current.ended) {
 		next.end()
 		return current
 	}
--- a/poplarhook/services/surveyor/bind.go
+++ b/poplarhook/services/surveyor/bind.go
@@ -101,6 +101,9 @@
 	var best candidate
 	found := false
 	for _, t := range s.tiers(w) {
+		if t.last && found {
+			break
+		}
 		candidates := s.rank(w, t)
 		if t.far {
 			// Each look at another region takes its way, so only the likeliest are worth one.
@@ -129,6 +132,8 @@
 	unfamiliar bool
 	// far says that the endpoints are in other regions.
 	far bool
+	// last says that the tier is looked at only if no endpoint before it has answered.
+	last bool
 	// looks is how many endpoints are asked together.
 	looks int
 	// familiar is how many endpoints this host usually asks.
@@ -147,12 +152,16 @@
 	}
 	if !s.hasOpen(own) {
 		// As few familiar endpoints as looks, so that connections to them are there.
-		return []tier{{groups: others, far: true, looks: awayLooks, familiar: awayLooks}}
+		return []tier{
+			{groups: others, far: true, looks: awayLooks, familiar: awayLooks},
+			{groups: others, far: true, looks: awayLooks, familiar: awayLooks, unfamiliar: true, last: true},
+		}
 	}
 	return []tier{
 		{groups: own, looks: looksAtOnce, familiar: familiar},
 		{groups: own, looks: looksAtOnce, familiar: familiar, unfamiliar: true},
 		{groups: others, far: true, looks: farLooks, familiar: familiar},
+		{groups: others, far: true, looks: farLooks, familiar: familiar, unfamiliar: true, last: true},
 	}
 }
 
--- a/poplarhook/services/surveyor/familiar_test.go
+++ b/poplarhook/services/surveyor/familiar_test.go
@@ -58,6 +58,26 @@
 	qt.Assert(t, w.looks, qt.HasLen, 6)
 }
 
+func TestOthersOfOtherRegionsAreAskedWhenTheFamiliarOnesFail(t *testing.T) {
+	w := newWorld()
+	var ids []string
+	for i := range 20 {
+		ids = append(ids, fmt.Sprintf("away-%d", i))
+	}
+	usual := ranker.New(ids...).Best("entry-1", 6)
+	for _, id := range ids {
+		says := idle(1)
+		if slices.Contains(usual, id) {
+			says = report.Report{Err: errClosed}
+		}
+		w.add(other, id, says)
+	}
+	s := newSurveyor(t, w)
+	for range 3 {
+		qt.Assert(t, slices.Contains(usual, bind(t, s).Endpoint.ID), qt.IsFalse)
+	}
+}
+
 func TestOthersAreAskedWhenTheFamiliarOnesAreFull(t *testing.T) {
 	w := newWorld()
 	usual := w.crowd(40, func(usual bool) report.Report {
--- a/poplarhook/services/surveyor/rank.go
+++ b/poplarhook/services/surveyor/rank.go
@@ -22,8 +22,8 @@
 	firstWay = 25 * time.Millisecond
 )
 
-// option is an endpoint that may get the request.
-type option struct {
+// contender is an endpoint that may get the request.
+type contender struct {
 	group group.Group
 	host  *host.Host
 	known *knowledge
@@ -34,9 +34,9 @@
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	options, least := s.options(now, w, t)
+	contenders, least := s.contenders(now, w, t)
 	candidates := make([]candidate, 0, familiar)
-	for _, o := range options {
+	for _, o := range contenders {
 		if isFamiliar := o.known.weight >= least; isFamiliar != t.unfamiliar {
 			candidates = append(candidates, s.candidateOf(now, w, o))
 		}
@@ -46,10 +46,10 @@
 	return candidates
 }
 
-// options returns the endpoints of the groups that may get work, and the least weight of those that this host usually
+// contenders returns the endpoints of the groups that may get work, and the least weight of those that this host usually
 // asks; those that failed or left a look unanswered a moment ago are returned only if no other is left. The lock is held.
-func (s *Surveyor) options(now time.Time, w wish.Wish, t tier) (options []option, least uint64) {
-	var sound, passedOver []option
+func (s *Surveyor) contenders(now time.Time, w wish.Wish, t tier) (contenders []contender, least uint64) {
+	var sound, passedOver []contender
 	for _, g := range t.groups {
 		open := s.source.OpenEndpoints(now, g)
 		for i := range open {
@@ -58,9 +58,9 @@
 			switch {
 			case h.ID == w.Excluded || k.replaced || (k.isCold(now) && !s.mayUseCold(now, *h)):
 			case now.Before(k.passOverUntil):
-				passedOver = append(passedOver, option{group: g, host: h, known: k})
+				passedOver = append(passedOver, contender{group: g, host: h, known: k})
 			default:
-				sound = append(sound, option{group: g, host: h, known: k})
+				sound = append(sound, contender{group: g, host: h, known: k})
 			}
 		}
 	}
@@ -75,7 +75,7 @@
 //
 // Each host has its own choice, of as many as it can keep connections to; all
 // hosts together choose each endpoint about equally often.
-func leastFamiliar(count int, sound, passedOver []option) uint64 {
+func leastFamiliar(count int, sound, passedOver []contender) uint64 {
 	if len(sound)+len(passedOver) <= count {
 		return 0
 	}
@@ -91,7 +91,7 @@
 }
 
 // candidateOf estimates an endpoint by what is known without a look. The lock is held.
-func (s *Surveyor) candidateOf(now time.Time, w wish.Wish, o option) candidate {
+func (s *Surveyor) candidateOf(now time.Time, w wish.Wish, o contender) candidate {
 	return candidate{
 		group:      o.group,
 		host:       *o.host,
