Let a host that the store turns away hear it through hosts below it in rank

Cause: TestHostsThatTheStoreTurnsAwayLearnFromOthers said that it ends open watches, but did not: the first host in rank learned of the change by the watch that was open. With watches cut the test was red: that host had nobody above it to ask, and asked only the store. Change: a host that follows the store but has no answer asks those below it at once, and goes on asking the store every few seconds. While it reads from one below it, it serves nobody, or hosts would read from each other and none follow the store. Whether the store was away is kept over changes of the source: TestEveryHostOfATreeLearnsOfTheGraceAfterAnOutage was red in one of two runs with the change alone, as a host that had just begun to ask the store when it came back took it for present all the while. Tests: the first one, stricter; TestAHostThatHearsTheStoreThroughOneBelowItDoesNotServe.

--- a/poplarhook/services/supplier/choice.go
+++ b/poplarhook/services/supplier/choice.go
@@ -1,6 +1,7 @@
 package supplier
 
 import (
+	"slices"
 	"time"
 
 	"poplarhook.example/lib/host"
@@ -41,11 +42,15 @@
 
 // prefer returns the best source that is not kept away from.
 func (s *Supplier) prefer() host.Host {
+	return s.firstAllowed(sourcesFor(s.self, s.members.Get().Items, s.fanout))
+}
+
+// firstAllowed returns the first of the hosts that is not kept away from, or this host.
+func (s *Supplier) firstAllowed(hosts []host.Host) host.Host {
 	now := s.clock()
-	sources := sourcesFor(s.self, s.members.Get().Items, s.fanout)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, h := range sources {
+	for _, h := range hosts {
 		if h.ID == s.self.ID || !now.Before(s.penalties[h.ID].until) {
 			return h
 		}
@@ -53,6 +58,23 @@
 	return s.self
 }
 
+// better returns the source to change to from the present one, which may be the same.
+//
+// A host that follows the store but does not hear it asks those below it in
+// rank, since the store may turn only some hosts away.
+func (s *Supplier) better(current *spell) host.Host {
+	preferred := s.prefer()
+	if preferred.ID != s.self.ID || current.source.ID != s.self.ID || s.storeHeard.Load() {
+		return preferred
+	}
+	return s.firstAllowed(sourcesBelow(s.self, s.members.Get().Items))
+}
+
+// isBelow reports whether the host is below this one in rank.
+func (s *Supplier) isBelow(source host.Host) bool {
+	return slices.ContainsFunc(sourcesBelow(s.self, s.members.Get().Items), func(h host.Host) bool { return h.ID == source.ID })
+}
+
 // penalise keeps away from a host, longer each time unless it has served for long.
 func (s *Supplier) penalise(id string, served time.Duration) {
 	s.mu.Lock()
--- a/poplarhook/services/supplier/rank.go
+++ b/poplarhook/services/supplier/rank.go
@@ -31,6 +31,13 @@
 	return sources
 }
 
+// sourcesBelow returns the hosts below this one in rank, the best first.
+func sourcesBelow(self host.Host, members map[string]host.Host) []host.Host {
+	ranked := sourcesOf(self, members)
+	place := slices.IndexFunc(ranked, func(h host.Host) bool { return h.ID == self.ID })
+	return ranked[place+1:]
+}
+
 // sourcesOf returns the hosts of the own region in the order in which they should follow the store for it.
 //
 // All who know the same members agree without talking.
--- a/poplarhook/services/supplier/relay_test.go
+++ b/poplarhook/services/supplier/relay_test.go
@@ -154,3 +154,20 @@
 	followed := w.followed()
 	qt.Assert(t, followed <= 6, qt.IsTrue, qt.Commentf("%d hosts followed the store", followed))
 }
+
+// Were it to serve, those below it would read from it and nobody would follow the store.
+func TestAHostThatHearsTheStoreThroughOneBelowItDoesNotServe(t *testing.T) {
+	w := newWorld(t, 4)
+	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
+	w.settle()
+	first := w.hosts[slices.IndexFunc(w.hosts, (*entryHost).followsStore)]
+	first.refuse(true)
+	for version := int64(2); version <= 6; version++ {
+		w.configure(version)
+		w.all(bound, "a configuration while the store turns the first host away", hasVersion(version))
+		response, err := http.Get("http://" + first.server.Listener.Addr().String() + subscriber.Path)
+		qt.Assert(t, err, qt.IsNil)
+		_ = response.Body.Close()
+		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	}
+}
--- a/poplarhook/services/supplier/spell.go
+++ b/poplarhook/services/supplier/spell.go
@@ -170,9 +170,10 @@
 	case <-current.ended:
 		s.fail()
 		return s.begin(ctx, s.choose())
+	case <-s.storeLost:
 	case <-timer.C:
 	}
-	better := s.prefer()
+	better := s.better(current)
 	if better.ID == current.source.ID {
 		return current
 	}
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -33,13 +33,12 @@
 	tally     tally
 	// behindSince is since when the store's revision is above what the watches account for, zero if it is not.
 	behindSince time.Time
-	// awaySince is since when the store answers no question, zero while it does.
-	awaySince time.Time
 }
 
 // follow follows the store until the context ends.
 func (s *Supplier) follow(ctx context.Context, begun func()) {
 	d := &direct{s: s, begun: begun, forgotten: make(chan struct{}, 1)}
+	s.storeHeard.Store(false)
 	s.counter("source_store")
 	s.logger.Info("following the store")
 	pulsed := d.pulse(ctx)
@@ -143,27 +142,30 @@
 }
 
 func (d *direct) miss(err error) {
+	d.s.storeHeard.Store(false)
 	if d.heard.Swap(false) {
 		d.s.logger.Warn("store lost", zap.String("error", err.Error()), zap.Int64("revision", d.newest()))
-		d.s.heard(false)
+		d.s.setHeard(false)
 		d.s.broadcaster.SetServing(false)
+		select {
+		case d.s.storeLost <- struct{}{}:
+		default:
+		}
 	}
 	d.s.broadcaster.TellLost()
-	if d.awaySince.IsZero() {
-		d.awaySince = d.s.clock()
-	}
+	d.s.miss()
 }
 
 func (d *direct) hear(ctx context.Context) {
-	d.s.returned(d.awaySince)
-	d.awaySince = time.Time{}
+	d.s.returned()
+	d.s.storeHeard.Store(true)
 	if !d.heard.Swap(true) {
 		d.s.logger.Info("store heard", zap.Int64("revision", d.newest()))
 	}
 	if d.watching == nil {
 		d.startWatches(ctx)
 	}
-	d.s.heard(true)
+	d.s.setHeard(true)
 	d.s.broadcaster.SetServing(true)
 	d.begun()
 }
--- a/poplarhook/services/supplier/stream.go
+++ b/poplarhook/services/supplier/stream.go
@@ -28,12 +28,15 @@
 	served bool
 	// relayed says that the other host does not follow the store itself.
 	relayed bool
+	// below says that the other host is below this one in rank: others must not read from this host then, as the other
+	// one would.
+	below bool
 }
 
 // read follows the views of another host until that ends, and then keeps away from it for a while.
 func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) {
 	startedAt := s.clock()
-	r := &stream{s: s, source: source, begun: begun}
+	r := &stream{s: s, source: source, begun: begun, below: s.isBelow(source)}
 	err := r.subscribe(ctx, s.firstLine())
 	if r.relayed && errors.Is(err, subscriber.ErrSilent) && ctx.Err() == nil {
 		// The other host has lost its source at the same moment and is about to hear the next one.
@@ -44,7 +47,7 @@
 		return
 	}
 	if r.served {
-		s.heard(false)
+		s.setHeard(false)
 		s.broadcaster.SetServing(false)
 	}
 	s.penalise(source.ID, s.clock().Sub(startedAt))
@@ -85,13 +88,13 @@
 	if err := r.s.take(f); err != nil {
 		return err
 	}
-	r.s.broadcaster.SetServing(true)
+	r.s.broadcaster.SetServing(!r.below)
 	if r.served {
 		return nil
 	}
 	r.served = true
 	r.s.succeed()
-	r.s.heard(true)
+	r.s.setHeard(true)
 	r.s.counter("source_peer")
 	r.s.logger.Info("following an entry host", zap.String("source", r.source.ID), zap.String("address", r.source.PeerAddress))
 	r.begun()
@@ -103,6 +106,8 @@
 		return errTooFar
 	}
 	r.relayed = hops > 0
-	r.s.broadcaster.Pulse(hops + 1)
+	if !r.below {
+		r.s.broadcaster.Pulse(hops + 1)
+	}
 	return nil
 }
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -81,10 +82,21 @@
 	zonesOut      *shelf.Shelf[json.RawMessage]
 	members       *shelf.Shelf[host.Host]
 
+	// storeHeard says that this host follows the store and that the store answered its last question.
+	storeHeard atomic.Bool
+	// storeLost tells that the store no longer answers this host.
+	storeLost chan struct{}
+
 	mu        sync.Mutex
 	penalties map[string]penalty
 	// failures counts the hosts in a row that did not serve.
 	failures int
+	// unheardSince is since when this host hears the store in no way, zero while it does; unanswered says that the store
+	// has left a question of this host unanswered since.
+	unheardSince time.Time
+	unanswered   bool
+	// hearing says that this host hears the store, itself or through another host.
+	hearing bool
 }
 
 // Option changes how a Supplier is built.
@@ -145,6 +157,7 @@
 		fanout:    fanout,
 		penalties: make(map[string]penalty),
 		hurried:   make(chan struct{}),
+		storeLost: make(chan struct{}, 1),
 	}
 	s.hurry = sync.OnceFunc(func() { close(s.hurried) })
 	for _, option := range options {
@@ -254,13 +267,47 @@
 // often than that.
 const lapseAfter = 500 * time.Millisecond
 
-// returned takes in that the store answers again since the given time, zero for one that was not away.
+// setHeard takes in whether this host's views are kept up to date.
+func (s *Supplier) setHeard(heard bool) {
+	s.mu.Lock()
+	s.hearing = heard
+	switch {
+	case heard:
+		s.unheardSince, s.unanswered = time.Time{}, false
+	case s.unheardSince.IsZero():
+		s.unheardSince = s.clock()
+	}
+	s.mu.Unlock()
+	s.heard(heard)
+}
+
+// miss takes in that the store has not answered this host, which says nothing while others hear it.
+func (s *Supplier) miss() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hearing {
+		return
+	}
+	s.unanswered = true
+	if s.unheardSince.IsZero() {
+		s.unheardSince = s.clock()
+	}
+}
+
+// wasAway reports whether the store was away for so long that entries may have lapsed, as far as this host knows.
+func (s *Supplier) wasAway(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unanswered && now.Sub(s.unheardSince) >= lapseAfter
+}
+
+// returned takes in that the store answers.
 //
-// The source of a region tells the others, since a host that lost only its
-// source cannot know whether the store was away too.
-func (s *Supplier) returned(awaySince time.Time) {
+// The source of a region tells the others of a grace, since a host that lost
+// only its source cannot know whether the store was away too.
+func (s *Supplier) returned() {
 	now := s.clock()
-	if awaySince.IsZero() || now.Sub(awaySince) < lapseAfter || s.lapseGrace <= 0 {
+	if s.lapseGrace <= 0 || !s.wasAway(now) {
 		return
 	}
 	s.broadcaster.SetGrace(now.Add(s.lapseGrace))
--- a/poplarhook/services/supplier/supplier_test.go
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -39,6 +39,8 @@
 	id     string
 	stop   func()
 	server *httptest.Server
+	// way is the host's own way to the store.
+	way *httptest.Server
 	// supplier is what the host runs.
 	supplier *supplier.Supplier
 
@@ -88,6 +90,9 @@
 	e.mu.Lock()
 	e.refused = refused
 	e.mu.Unlock()
+	if refused {
+		e.way.CloseClientConnections()
+	}
 }
 
 // silence keeps what the host tells others from them.
@@ -161,14 +166,14 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(w.t, err, qt.IsNil)
 	e := &entryHost{id: id, events: make(map[string]int)}
-	way := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+	e.way = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if e.isRefused() {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		w.store.ServeHTTP(rw, r)
 	}))
-	calls := client.New(way.Listener.Addr().String())
+	calls := client.New(e.way.Listener.Addr().String())
 	decode := decoder.New(func(string) (string, bool) { return "region", true })
 	skipped := func(string, error) {}
 	s := supplier.New(host.Host{ID: id, Region: "region", PeerAddress: listener.Addr().String()}, supplier.Store{
@@ -194,8 +199,8 @@
 		e.server.CloseClientConnections()
 		e.server.Close()
 		qt.Check(w.t, <-done, qt.IsNil)
-		way.CloseClientConnections()
-		way.Close()
+		e.way.CloseClientConnections()
+		e.way.Close()
 	})
 	w.hosts = append(w.hosts, e)
 	return e
