Let the soak run as many gateways as asked for

Cause: with two gateways a zone no host reads from one that reads from another itself. Change: SOAK_HOSTS gateways in each of the three zones; callers call less often then, so that the load stays the same. No code of the programs changes.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	@for m in lib platform poplarbench poplarctl poplarhook standin; do (cd $$m && go test -race ./...) || exit 1; done
 
 .PHONY: soak
-soak: build ## Soak the gateways under SEEDS fresh seeds of random faults (default 10)
+soak: build ## Soak the gateways under SEEDS fresh seeds of random faults (default 10), SOAK_HOSTS of them in each of three zones (default 2)
 	cd tests && SOAK_SEEDS=$(SEEDS) go test -count=1 -timeout 120m -v ./soak
 
 .PHONY: spec
--- a/tests/soak/callers_test.go
+++ b/tests/soak/callers_test.go
@@ -33,7 +33,8 @@
 
 const (
 	callersAnEntry = 3
-	pause          = 25 * time.Millisecond
+	// pauseOfOne is the pause between the calls of one caller where one gateway runs in each zone; more gateways share the load.
+	pauseOfOne = 12500 * time.Microsecond
 )
 
 func startCallers(w *world, seed uint64) *callers {
@@ -59,6 +60,7 @@
 }
 
 func (c *callers) call(address string, random *rand.Rand) {
+	pause := pauseOfOne * time.Duration(hostsAZone())
 	for {
 		select {
 		case <-c.stop:
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -26,7 +27,6 @@
 
 const (
 	zones        = 3
-	hostsAZone   = 2
 	perZone      = 2
 	stockService = "stock"
 	orderService = "orders"
@@ -39,6 +39,14 @@
 	zoneOutBound = 5 * time.Second
 )
 
+// hostsAZone returns how many gateways run in each zone, SOAK_HOSTS if that is set.
+func hostsAZone() int {
+	if n, err := strconv.Atoi(os.Getenv("SOAK_HOSTS")); err == nil && n > 0 {
+		return n
+	}
+	return 2
+}
+
 // entry is one gateway process with its way to the store.
 type entry struct {
 	settings   deployment.Deployment
@@ -105,7 +113,7 @@
 		}
 	}
 	for z := range zones {
-		for i := range hostsAZone {
+		for i := range hostsAZone() {
 			w.addEntry(z, i)
 		}
 	}
@@ -151,20 +159,21 @@
 }
 
 const (
-	// firstPort and portsARun keep listeners below the ports that the system gives to outgoing connections, and
-	// runs beside each other apart.
+	// firstPort and portsInAll keep listeners below the ports that the system gives to outgoing connections, and
+	// portsAHost runs beside each other apart; some ports may be taken.
 	firstPort  = 15000
-	portsARun  = 64
-	runsBeside = 200
+	portsInAll = 12800
+	portsAHost = 10
 )
 
 // freePorts returns the next ports of loopback that are free.
 func (w *world) freePorts(n int) []int {
 	var ports []int
+	ofRun := portsAHost * zones * hostsAZone()
 	for len(ports) < n {
-		port := firstPort + os.Getpid()%runsBeside*portsARun + w.nextPort
+		port := firstPort + os.Getpid()%(portsInAll/ofRun)*ofRun + w.nextPort
 		w.nextPort++
-		qt.Assert(w.t, w.nextPort < portsARun, qt.IsTrue, qt.Commentf("no port is free"))
+		qt.Assert(w.t, w.nextPort < ofRun, qt.IsTrue, qt.Commentf("no port is free"))
 		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
