Draw results of the load tool over time

poplarbench plot draws what was served, what was not and the latency of each second, a line for each result, as SVG or PNG, by the plotting library gonum.org/v1/plot. Tests: poplarbench/plotter, poplarbench/cmd. Looked at a picture of two real runs of twelve seconds; the names lay over the lines, so plots are taller now.

--- a/poplarbench/cmd/root.go
+++ b/poplarbench/cmd/root.go
@@ -10,7 +10,7 @@
 )
 
 // ErrUsage is returned for arguments that name no subcommand.
-var ErrUsage = errors.New("a subcommand is needed: run or compare")
+var ErrUsage = errors.New("a subcommand is needed: run, compare or plot")
 
 // Run parses the arguments, without the program's name, and runs their subcommand.
 func Run(ctx context.Context, args []string, out io.Writer, clock func() time.Time) error {
@@ -21,6 +21,8 @@
 	compare := newCompareCommand()
 	parser.AttachSubcommand(run.subcommand, 1)
 	parser.AttachSubcommand(compare.subcommand, 1)
+	plot := newPlotCommand()
+	parser.AttachSubcommand(plot.subcommand, 1)
 	if err := parser.ParseArgs(args); err != nil {
 		return errors.Wrap(err, "reading the arguments")
 	}
@@ -29,6 +31,8 @@
 		return run.run(ctx, out, clock)
 	case compare.subcommand.Used:
 		return compare.run(out)
+	case plot.subcommand.Used:
+		return plot.run()
 	default:
 		return ErrUsage
 	}
--- a/poplarbench/cmd/root_test.go
+++ b/poplarbench/cmd/root_test.go
@@ -37,6 +37,11 @@
 	c.Assert(read.Seed, qt.Equals, uint64(9))
 	c.Assert(cmd.Run(t.Context(), []string{"compare", file, file}, &out, time.Now), qt.IsNil)
 	c.Assert(out.String(), qt.Contains, "p99_9_ms")
+	plot := filepath.Join(t.TempDir(), "runs.svg")
+	c.Assert(cmd.Run(t.Context(), []string{"plot", "--result", file, "--result", file, "--output", plot}, &out, time.Now), qt.IsNil)
+	drawn, err := os.ReadFile(plot)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(drawn), qt.Contains, "<svg")
 }
 
 func TestRunRefuses(t *testing.T) {
@@ -52,6 +57,9 @@
 		{"target", []string{"run", path, "--target", "here"}, `--target: value "here", allowed: host:port.*`},
 		{"connections", []string{"run", path, "--target", "127.0.0.1:1", "--connections", "0"}, "--connections: value 0.*"},
 		{"rate", []string{"run", path, "--target", "127.0.0.1:1", "--rate", "-1"}, "field rate_per_s: value -1.*"},
+		{"plot without a result", []string{"plot", "--output", "a.svg"}, "--result: at least one.*"},
+		{"plot of an unknown format", []string{"plot", "--result", path, "--output", "a.gif"}, `--output "a.gif": must end with .svg or .png.*`},
+		{"plot of something else", []string{"plot", "--result", path, "--output", filepath.Join(t.TempDir(), "a.svg")}, "reading .*: invalid result"},
 		{"check", []string{"run", path, "--target", "127.0.0.1:1", "--check"}, "--check without --control.*"},
 	}
 	for _, row := range table {
--- /dev/null
+++ b/poplarbench/plotter/doc.go
@@ -0,0 +1,2 @@
+// Package plotter draws the course of runs.
+package plotter
--- /dev/null
+++ b/poplarbench/plotter/plotter.go
@@ -0,0 +1,114 @@
+package plotter
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"poplarhook.example/poplarbench/result"
+)
+
+// ErrEmpty is returned for results without windows.
+var ErrEmpty = errors.New("nothing to draw")
+
+const (
+	// width and height are those of a page that shows three plots below each other.
+	width  = 18 * vg.Centimeter
+	height = 24 * vg.Centimeter
+	// headroom is how much taller a plot is than its highest point, for the names of the lines.
+	headroom = 1.3
+)
+
+// Plotter draws results over time, one line each.
+type Plotter struct {
+	results []result.Result
+}
+
+// New returns a Plotter of the results.
+func New(results ...result.Result) Plotter {
+	return Plotter{results: results}
+}
+
+// quantity is what one plot shows of each second.
+type quantity struct {
+	title string
+	unit  string
+	of    func(w result.Window) float64
+}
+
+var quantities = []quantity{
+	{"served", "requests a second", func(w result.Window) float64 { return float64(w.Served) }},
+	{"refused, unknown and broken", "requests a second", func(w result.Window) float64 { return float64(w.Refusals + w.Broken) }},
+	{"99 of 100 answers within", "ms", func(w result.Window) float64 { return w.P99MS }},
+}
+
+// Write draws the plots below each other in the format, svg or png.
+func (p Plotter) Write(out io.Writer, format string) error {
+	canvas, err := draw.NewFormattedCanvas(width, height, format)
+	if err != nil {
+		return errors.Wrap(err, "format of the plot")
+	}
+	plots := make([][]*plot.Plot, 0, len(quantities))
+	for _, q := range quantities {
+		drawn, err := p.draw(q)
+		if err != nil {
+			return err
+		}
+		plots = append(plots, []*plot.Plot{drawn})
+	}
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: vg.Centimeter, PadRight: vg.Centimeter}
+	for row, canvases := range plot.Align(plots, tiles, draw.New(canvas)) {
+		plots[row][0].Draw(canvases[0])
+	}
+	_, err = canvas.WriteTo(out)
+	return errors.Wrap(err, "writing the plot")
+}
+
+// draw returns the plot of one quantity.
+func (p Plotter) draw(q quantity) (*plot.Plot, error) {
+	drawn := plot.New()
+	drawn.Title.Text = q.title
+	drawn.X.Label.Text = "second"
+	drawn.Y.Label.Text = q.unit
+	drawn.Y.Min = 0
+	drawn.Legend.Top = true
+	drawn.Add(plotter.NewGrid())
+	for i, r := range p.results {
+		line, err := lineOf(r, q)
+		if err != nil {
+			return nil, err
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i)
+		drawn.Add(line)
+		drawn.Legend.Add(nameOf(r, i), line)
+	}
+	drawn.Y.Max *= headroom
+	return drawn, nil
+}
+
+func lineOf(r result.Result, q quantity) (*plotter.Line, error) {
+	points := make(plotter.XYs, 0, len(r.Windows))
+	for _, w := range r.Windows {
+		points = append(points, plotter.XY{X: float64(w.Second), Y: q.of(w)})
+	}
+	if len(points) == 0 {
+		return nil, errors.Wrapf(ErrEmpty, "result %q has no windows", r.Label)
+	}
+	line, err := plotter.NewLine(points)
+	return line, errors.Wrapf(err, "result %q", r.Label)
+}
+
+// nameOf returns the label of the result, or its place if it has none.
+func nameOf(r result.Result, place int) string {
+	if r.Label != "" {
+		return r.Label
+	}
+	return fmt.Sprintf("run %d", place+1)
+}
