Let hosts that hear the store through others end with what it holds

Of several changes of one item in one watch each was compared with the state before. A host that had listed the store itself, and so was ahead of its source, took differences from an older state for all changes. Ruled out: to keep a second copy of what the source believes (memory of every host); revisions of each item in the lines (bytes). Change: the last change of an item counts, and is told if any of them was news; only the host that follows the store leaves out what is no news, the others pass on what they were told; what differs between two lists says from which revision on, and a host whose view is newer than that asks for the whole list. The shelf has one way in for each origin: list, watch, told.

--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -19,6 +19,8 @@
 	Revision int64           `json:"revision,omitempty"`
 	Items    json.RawMessage `json:"items,omitempty"`
 	Changes  json.RawMessage `json:"changes,omitempty"`
+	// Since is the revision from which on the changes are only what differs in the end, zero for every item that changed.
+	Since int64 `json:"since,omitempty"`
 	// Packed is the items compressed with DEFLATE, in place of Items.
 	Packed []byte `json:"packed,omitempty"`
 	// GraceMS is how much longer entries that lapsed while the store was away may come back, in milliseconds.
@@ -38,6 +40,7 @@
 	f := Frame{Feed: feed, Revision: v.Revision}
 	var err error
 	if v.Changed != nil {
+		f.Since = v.Since
 		f.Changes, err = json.Marshal(v.Changed)
 		return f, errors.Wrapf(err, "encode changes of %s", feed)
 	}
@@ -68,7 +71,7 @@
 	v := view.View[T]{Revision: f.Revision, HeardAt: now}
 	switch {
 	case f.Changes != nil:
-		v.Changed = []change.Change[T]{}
+		v.Changed, v.Since = []change.Change[T]{}, f.Since
 		return v, errors.Wrapf(json.Unmarshal(f.Changes, &v.Changed), "changes of %s", f.Feed)
 	case f.Packed != nil:
 		unpacked := json.NewDecoder(flate.NewReader(bytes.NewReader(f.Packed)))
--- a/poplarhook/models/frame/frame_test.go
+++ b/poplarhook/models/frame/frame_test.go
@@ -48,6 +48,7 @@
 		{Revision: 3, Items: endpoints(1000)},
 		{Revision: 4, Changed: []change.Change[host.Host]{{Name: "a", Value: host.Host{ID: "a"}}, {Name: "b", Removed: true}}},
 		{Revision: 5, Changed: []change.Change[host.Host]{}},
+		{Revision: 7, Changed: []change.Change[host.Host]{{Name: "a", Value: host.Host{ID: "a"}}}, Since: 5},
 	} {
 		got, _ := send(t, v)
 		qt.Assert(t, got, qt.DeepEquals, v)
--- a/poplarhook/models/view/view.go
+++ b/poplarhook/models/view/view.go
@@ -17,6 +17,9 @@
 	HeardAt time.Time
 	// Changed is what differs from the view before, nil when the items came as a whole.
 	Changed []change.Change[T]
+	// Since is the revision that the view before had when Changed is only what differs from it in the end, zero when
+	// Changed has every item that changed: a view that is newer than Since must not take it in.
+	Since int64
 }
 
 // With returns the view after the changes, which the source told at the given time.
@@ -35,6 +38,12 @@
 	return next
 }
 
+// WithSince returns a copy whose changes are what differs in the end from a view of the given revision.
+func (v View[T]) WithSince(revision int64) View[T] {
+	v.Since = revision
+	return v
+}
+
 // ChangesTo returns what makes the items of this view those of the other one, in the order of their names; items that are
 // the same in both are among it.
 func (v View[T]) ChangesTo(other View[T]) []change.Change[T] {
@@ -50,20 +59,3 @@
 	slices.SortFunc(changes, func(a, b change.Change[T]) int { return strings.Compare(a.Name, b.Name) })
 	return changes
 }
-
-// Merge returns the newer of two views and whether that is the other one.
-//
-// Changes may come on top of an older view than this one: those that this view
-// holds already do no harm, as each change names the whole item.
-func (v View[T]) Merge(other View[T]) (View[T], bool) {
-	switch {
-	case other.Revision < v.Revision:
-		return v, false
-	case other.Changed == nil:
-		return other, true
-	case other.Revision == v.Revision:
-		return v, false
-	default:
-		return v.With(other.Changed, other.Revision, other.HeardAt), true
-	}
-}
--- a/poplarhook/services/follower/follower.go
+++ b/poplarhook/services/follower/follower.go
@@ -23,7 +23,8 @@
 
 // shelf takes each newer view.
 type shelf[T any] interface {
-	Put(v view.View[T])
+	PutList(v view.View[T])
+	PutWatched(v view.View[T])
 }
 
 // Follower follows one source.
@@ -165,7 +166,7 @@
 	}
 	f.view = view.View[T]{Items: items, Revision: revision, HeardAt: f.clock()}
 	f.listed(revision)
-	f.shelf.Put(f.view)
+	f.shelf.PutList(f.view)
 	return nil
 }
 
@@ -182,7 +183,7 @@
 	}
 	f.changed(len(changes))
 	f.view = f.view.With(changes, max(revision, f.view.Revision), f.clock())
-	f.shelf.Put(f.view)
+	f.shelf.PutWatched(f.view)
 	return nil
 }
 
--- a/poplarhook/services/follower/follower_test.go
+++ b/poplarhook/services/follower/follower_test.go
@@ -75,7 +75,9 @@
 	views []view.View[int]
 }
 
-func (s *shelf) Put(v view.View[int]) {
+func (s *shelf) PutWatched(v view.View[int]) { s.PutList(v) }
+
+func (s *shelf) PutList(v view.View[int]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.views = append(s.views, v)
--- a/poplarhook/services/shelf/shelf_test.go
+++ b/poplarhook/services/shelf/shelf_test.go
@@ -2,73 +2,105 @@
 
 import (
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"poplarhook.example/lib/change"
 	"poplarhook.example/poplarhook/models/view"
 	"poplarhook.example/poplarhook/services/shelf"
 )
 
+type changes = []change.Change[int]
+
 // told is a shelf of numbers, of which the same parity says nothing new, and what its hook was told.
 type told struct {
 	*shelf.Shelf[int]
-	changes []change.Change[int]
-	calls   int
+	views []view.View[int]
 }
 
 func newTold() *told {
 	t := &told{}
-	isSame := func(_ time.Time, before, after int) bool { return before%2 == after%2 }
-	t.Shelf = shelf.New(isSame, func(v view.View[int]) {
-		t.changes = append(t.changes, v.Changed...)
-		t.calls++
-	})
-	t.Put(view.View[int]{Items: map[string]int{"a": 1, "b": 2}, Revision: 10})
-	t.calls = 0
+	t.Shelf = shelf.New(sameParity, func(v view.View[int]) { t.views = append(t.views, v) })
+	t.PutList(view.View[int]{Items: map[string]int{"a": 1, "b": 2}, Revision: 10})
+	t.views = nil
 	return t
 }
 
-func TestChangesThatSayNothingNewAreNotTold(t *testing.T) {
+func TestWatchedChangesThatSayNothingNewAreNotTold(t *testing.T) {
 	s := newTold()
-	s.Put(view.View[int]{Revision: 11, Changed: []change.Change[int]{{Name: "a", Value: 3}, {Name: "b", Value: 5}, {Name: "c", Removed: true}}})
-	qt.Assert(t, s.changes, qt.DeepEquals, []change.Change[int]{{Name: "b", Value: 5}})
+	s.PutWatched(view.View[int]{Revision: 11, Changed: changes{{Name: "a", Value: 3}, {Name: "b", Value: 5}, {Name: "c", Removed: true}}})
+	qt.Assert(t, s.views, qt.HasLen, 1)
+	qt.Assert(t, s.views[0].Changed, qt.DeepEquals, changes{{Name: "b", Value: 5}})
 	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 1, "b": 5})
 }
 
+func TestOfSeveralChangesOfAnItemTheLastCounts(t *testing.T) {
+	s := newTold()
+	s.PutWatched(view.View[int]{Revision: 15, Changed: changes{
+		{Name: "c", Value: 1},
+		{Name: "a", Removed: true},
+		{Name: "c", Removed: true},
+		{Name: "a", Value: 1},
+	}})
+	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 1, "b": 2})
+	// Who has listed the store in between believes otherwise.
+	qt.Assert(t, s.views[0].Changed, qt.DeepEquals, changes{{Name: "c", Removed: true}, {Name: "a", Value: 1}})
+}
+
 func TestNoNewsRaisesTheRevisionOnly(t *testing.T) {
 	s := newTold()
-	s.Put(view.View[int]{Revision: 12, Changed: []change.Change[int]{{Name: "a", Value: 3}}})
-	qt.Assert(t, s.calls, qt.Equals, 0)
-	s.Put(view.View[int]{Revision: 11, Changed: []change.Change[int]{{Name: "a", Value: 4}}})
+	s.PutWatched(view.View[int]{Revision: 12, Changed: changes{{Name: "a", Value: 3}}})
+	qt.Assert(t, s.views, qt.HasLen, 0)
+	qt.Assert(t, s.PutTold(view.View[int]{Revision: 11, Changed: changes{{Name: "a", Value: 4}}}), qt.IsNil)
 	qt.Assert(t, s.Get().Items["a"], qt.Equals, 1)
 }
 
-func TestANewerListTellsOnlyWhatDiffers(t *testing.T) {
+func TestANewerListTellsWhatDiffersAndFromWhere(t *testing.T) {
 	s := newTold()
-	s.Put(view.View[int]{Revision: 12, Items: map[string]int{"a": 3, "c": 4}})
-	qt.Assert(t, s.changes, qt.DeepEquals, []change.Change[int]{{Name: "b", Removed: true}, {Name: "c", Value: 4}})
-	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 1, "c": 4})
+	s.PutList(view.View[int]{Revision: 12, Items: map[string]int{"a": 3, "c": 4}})
+	qt.Assert(t, s.views[0].Changed, qt.DeepEquals, changes{{Name: "b", Removed: true}, {Name: "c", Value: 4}})
+	qt.Assert(t, s.views[0].Since, qt.Equals, int64(10))
+	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 3, "c": 4})
 	qt.Assert(t, s.Get().Revision, qt.Equals, int64(12))
 }
 
-func TestAListWithoutNewsIsNotTold(t *testing.T) {
+func TestANewerListThatDiffersInNothingIsToldToo(t *testing.T) {
 	s := newTold()
-	s.Put(view.View[int]{Revision: 12, Items: map[string]int{"a": 1, "b": 2}})
-	qt.Assert(t, s.calls, qt.Equals, 0)
-	qt.Assert(t, s.Get().Revision, qt.Equals, int64(12))
+	s.PutList(view.View[int]{Revision: 12, Items: map[string]int{"a": 1, "b": 2}})
+	qt.Assert(t, s.views, qt.HasLen, 1)
+	qt.Assert(t, s.views[0].Changed, qt.DeepEquals, changes{})
 }
 
 func TestAListOfTheSameRevisionMends(t *testing.T) {
 	s := newTold()
-	s.Put(view.View[int]{Revision: 10, Items: map[string]int{"a": 1}})
+	s.PutList(view.View[int]{Revision: 10, Items: map[string]int{"a": 1}})
 	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"a": 1})
+	s.views = nil
+	s.PutList(view.View[int]{Revision: 10, Items: map[string]int{"a": 3}})
+	qt.Assert(t, s.views, qt.HasLen, 0)
 }
 
 func TestAnOlderListIsLeftOut(t *testing.T) {
 	s := newTold()
-	s.Put(view.View[int]{Revision: 9, Items: map[string]int{"a": 1}})
-	qt.Assert(t, s.calls, qt.Equals, 0)
+	s.PutList(view.View[int]{Revision: 9, Items: map[string]int{"a": 1}})
+	qt.Assert(t, s.views, qt.HasLen, 0)
 	qt.Assert(t, s.Get().Items, qt.HasLen, 2)
 }
+
+func TestDifferencesFromAnOlderStateAreRefused(t *testing.T) {
+	difference := view.View[int]{Revision: 14, Since: 9, Changed: changes{{Name: "a", Removed: true}}}
+	s := newTold()
+	qt.Assert(t, errors.Is(s.PutTold(difference), shelf.ErrApart), qt.IsTrue)
+	qt.Assert(t, s.PutTold(difference.WithSince(12)), qt.IsNil)
+	qt.Assert(t, s.Get().Items, qt.DeepEquals, map[string]int{"b": 2})
+	qt.Assert(t, s.views[0].Since, qt.Equals, int64(12))
+	empty := shelf.New[int](nil)
+	qt.Assert(t, errors.Is(empty.PutTold(difference.WithSince(0)), shelf.ErrApart), qt.IsTrue)
+}
+
+func TestWhatOthersTellIsToldOnThoughItSaysNothingNewHere(t *testing.T) {
+	s := newTold()
+	qt.Assert(t, s.PutTold(view.View[int]{Revision: 14, Changed: changes{{Name: "a", Value: 1}}}), qt.IsNil)
+	qt.Assert(t, s.views[0].Changed, qt.HasLen, 1)
+}
--- a/poplarhook/services/supplier/relay_test.go
+++ b/poplarhook/services/supplier/relay_test.go
@@ -128,6 +128,27 @@
 	qt.Assert(t, e.isHeard(), qt.IsTrue)
 }
 
+// Changes of endpoints are read together, so one may come and go, or go and come back, in what one watch brings.
+func TestEndpointsThatComeAndGoAtOnceAreToldAsTheyEnd(t *testing.T) {
+	w := newWorld(t, 4, supplier.WithFanout(fanout))
+	back := host.Host{ID: "back", Service: "s", Address: "127.0.0.1:2", AvailabilityZone: "z", Slots: 2, State: host.StateLive}
+	gone, marker := back, back
+	gone.ID, marker.ID = "gone", "marker"
+	w.store.PutEndpoint(back)
+	w.all(10*time.Second, "the first endpoint", func(e *entryHost) bool { return e.knows("back") })
+	w.settleIntoTree()
+	w.store.PutEndpoint(gone)
+	w.store.RemoveEndpoint("back")
+	w.store.RemoveEndpoint("gone")
+	w.store.PutEndpoint(back)
+	w.store.PutEndpoint(marker)
+	w.all(bound, "the last change", func(e *entryHost) bool { return e.knows("marker") })
+	for _, e := range w.hosts {
+		qt.Check(t, e.knows("back"), qt.IsTrue, qt.Commentf(e.id))
+		qt.Check(t, e.knows("gone"), qt.IsFalse, qt.Commentf(e.id))
+	}
+}
+
 // The first in rank may start later than the others, or not at all.
 func TestAHostInAHurryDoesNotWaitForTheFirstInRank(t *testing.T) {
 	w := newWorld(t, 0)
--- a/poplarhook/services/supplier/spell_internal_test.go
+++ b/poplarhook/services/supplier/spell_internal_test.go
@@ -25,7 +25,7 @@
 		ZonesOut:      func(view.View[json.RawMessage]) {},
 		Members:       func(view.View[host.Host]) {},
 	})
-	s.members.Put(view.View[host.Host]{Revision: 1, Items: map[string]host.Host{
+	s.members.PutList(view.View[host.Host]{Revision: 1, Items: map[string]host.Host{
 		"better": {ID: "better", Region: "r", Capacity: 9, PeerAddress: silent.Listener.Addr().String()},
 	}})
 	current := &spell{source: host.Host{ID: "lost"}, ended: make(chan struct{})}
--- a/poplarhook/services/supplier/store.go
+++ b/poplarhook/services/supplier/store.go
@@ -107,7 +107,7 @@
 	n := differences(known.Items, items)
 	d.tally.read(n)
 	if known.Revision == 0 || n > 0 {
-		d.s.zonesOut.Put(view.View[json.RawMessage]{Items: items, Revision: revision, HeardAt: now})
+		d.s.zonesOut.PutList(view.View[json.RawMessage]{Items: items, Revision: revision, HeardAt: now})
 	}
 	d.compare(now, revision)
 	return nil
--- a/poplarhook/services/supplier/stream.go
+++ b/poplarhook/services/supplier/stream.go
@@ -10,6 +10,7 @@
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/pauser"
 	"poplarhook.example/poplarhook/models/frame"
+	"poplarhook.example/poplarhook/services/shelf"
 	"poplarhook.example/poplarhook/services/subscriber"
 )
 
@@ -38,6 +39,10 @@
 	startedAt := s.clock()
 	r := &stream{s: s, source: source, begun: begun, below: s.isBelow(source)}
 	err := r.subscribe(ctx, s.firstLine())
+	for errors.Is(err, shelf.ErrApart) && ctx.Err() == nil {
+		// The other host's list as a whole is newer by now than this host's own.
+		err = r.subscribe(ctx, s.times.serving)
+	}
 	if r.relayed && errors.Is(err, subscriber.ErrSilent) && ctx.Err() == nil {
 		// The other host has lost its source at the same moment and is about to hear the next one.
 		s.broadcaster.SetServing(false)
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -201,7 +201,7 @@
 	if v.Revision == 0 {
 		return frames
 	}
-	v.Changed = nil
+	v.Changed, v.Since = nil, 0
 	if f, encoded := newFrame(s, feed, v); encoded {
 		frames = append(frames, f)
 	}
@@ -241,7 +241,7 @@
 		s.logger.Warn("entry hosts are not known yet", zap.String("error", err.Error()))
 		return
 	}
-	s.members.Put(view.View[host.Host]{Items: items, Revision: revision, HeardAt: s.clock()})
+	s.members.PutList(view.View[host.Host]{Items: items, Revision: revision, HeardAt: s.clock()})
 }
 
 // askSeeds learns from other hosts what they know, for a host that starts while the store is away.
@@ -340,6 +340,5 @@
 	if err != nil {
 		return err
 	}
-	on.Put(v)
-	return nil
+	return on.PutTold(v)
 }
--- a/poplarhook/services/supplier/supplier_test.go
+++ b/poplarhook/services/supplier/supplier_test.go
@@ -265,6 +265,14 @@
 	})
 }
 
+// knows reports whether the host believes in the endpoint.
+func (e *entryHost) knows(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, known := e.items[id]
+	return known
+}
+
 func (e *entryHost) hadGrace() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
