Refuse at once on a host that gets no configuration for a second, and check slacks of the settings

A request without a configuration waited 150 ms, also on a host that started during a long outage of the store and knew by then that it has none. Others wait only within a second of the first one now. Test: TestAHostThatGetsNoConfigurationRefusesAtOnceAfterAWhile. 2. Shares, slacks, processor and link below zero were taken; they are refused with field, value and what is allowed. 3.

--- a/lib/deployment/deployment.go
+++ b/lib/deployment/deployment.go
@@ -151,6 +151,27 @@
 			return invalid(b.field, b.value, "a number above zero")
 		}
 	}
+	return d.checkSlacks()
+}
+
+// checkSlacks checks the figures of which zero means none.
+func (d Deployment) checkSlacks() error {
+	slacks := []struct {
+		field string
+		value float64
+	}{
+		{"processor", d.Processor},
+		{"link_mbps", d.Link},
+		{"bounds.retry_share", d.Bounds.RetryShare},
+		{"bounds.retry_slack", d.Bounds.RetrySlack},
+		{"bounds.cold_slack", d.Bounds.ColdSlack},
+		{"bounds.probes_per_second", d.Bounds.ProbesPerSecond},
+	}
+	for _, s := range slacks {
+		if s.value < 0 {
+			return invalid(s.field, s.value, "a number not below zero")
+		}
+	}
 	return nil
 }
 
--- a/lib/deployment/deployment_test.go
+++ b/lib/deployment/deployment_test.go
@@ -44,6 +44,7 @@
 		"ports in order":  {"admin_ports", []int{7600, 7600}, "admin_ports is"},
 		"no bound":        {"bounds", map[string]any{}, "bounds.configuration_ms is"},
 		"history of zero": {"history_s", 0, "history_s is"},
+		"no processor":    {"processor", -0.5, `processor is "-0.5": allowed is a number not below zero`},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -53,7 +53,9 @@
 	callers    http.Handler
 	draining   atomic.Bool
 	// configured is closed once there are a configuration and endpoints.
-	configured    chan struct{}
+	configured chan struct{}
+	// firstUnready is when the first request came that found no configuration, in Unix nanoseconds, zero before.
+	firstUnready  atomic.Int64
 	setConfigured func()
 	// heard says that the views below are kept up to date.
 	heard atomic.Bool
@@ -218,11 +220,19 @@
 // the store, which answers in some 10 ms, 100 ms when it is slow.
 const configurationWait = 150 * time.Millisecond
 
+// startTime is how long after the first request without a configuration others wait too: a host that has none by then knows
+// that the store is away, and refuses at once.
+const startTime = time.Second
+
 // awaitConfiguration has the first configuration taken without delay, as callers are there, and waits for it.
 //
 // It answers the load of a host that gets requests from its start on, after all hosts were lost at once.
 func (g *Gateway) awaitConfiguration(ctx context.Context) {
 	g.supplier.Hurry()
+	now := g.clock().UnixNano()
+	if !g.firstUnready.CompareAndSwap(0, now) && now-g.firstUnready.Load() > startTime.Nanoseconds() {
+		return
+	}
 	timer := time.NewTimer(configurationWait)
 	defer timer.Stop()
 	select {
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -2,200 +2,24 @@
 
 import (
 	"bufio"
-	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"go.uber.org/zap"
 
-	"poplarhook.example/lib/awaiter"
-	"poplarhook.example/lib/class"
-	"poplarhook.example/lib/deployment"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/service"
-	"poplarhook.example/platform/client"
-	"poplarhook.example/platform/decoder"
-	"poplarhook.example/platform/dialect"
 	"poplarhook.example/platform/feed"
 	"poplarhook.example/platform/imitator"
 	"poplarhook.example/poplarhook/models/belief"
-	"poplarhook.example/poplarhook/modules/meter"
-	"poplarhook.example/poplarhook/services/gateway"
-	"poplarhook.example/poplarhook/services/supplier"
 )
 
-// world is a gateway with its store and endpoints, all on loopback.
-type world struct {
-	t         *testing.T
-	store     *imitator.Store
-	endpoints []*imitator.Endpoint
-	address   string
-	ready     string
-	admin     string
-	stop      context.CancelFunc
-	done      <-chan error
-}
-
-const (
-	zone   = "zone-1"
-	region = "region-1"
-)
-
-// classes are a lookup that may be repeated and an order that may not.
-func classes() []class.Class {
-	return []class.Class{
-		{Name: "lookup", Hosts: []string{"shop.example"}, PathPrefix: "/lookup/", Service: "stock", Execution: class.Idempotent, LatencyTargetMS: 300, DeadlineMS: 1000, MaxSends: 3},
-		{Name: "order", Hosts: []string{"shop.example"}, PathPrefix: "/order/", Service: "stock", Execution: class.OnceOnly, LatencyTargetMS: 300, DeadlineMS: 1000, MaxSends: 3},
-		{Name: "deep", Hosts: []string{"shop.example"}, PathPrefix: "/lookup/deep/", Service: "nowhere", Execution: class.Idempotent, LatencyTargetMS: 300, DeadlineMS: 1000, MaxSends: 3},
-	}
-}
-
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	return l
-}
-
-// newWorld starts a gateway before it has a configuration, unless the store is filled with one.
-func newWorld(t *testing.T, endpoints int, fill ...func(s *imitator.Store)) *world {
-	t.Helper()
-	w := &world{t: t, store: imitator.NewStore()}
-	for _, one := range fill {
-		one(w.store)
-	}
-	store := httptest.NewServer(w.store)
-	for i := range endpoints {
-		e := imitator.NewEndpoint(fmt.Sprintf("endpoint-%d", i))
-		w.endpoints = append(w.endpoints, e)
-		w.list(e, host.StateLive)
-	}
-	listeners := gateway.Listeners{Callers: listen(t), Ready: listen(t), Peers: listen(t), Admin: listen(t)}
-	w.address, w.ready, w.admin = listeners.Callers.Addr().String(), listeners.Ready.Addr().String(), listeners.Admin.Addr().String()
-	d := deployment.Deployment{
-		HostID: "entry-1", Region: region, AvailabilityZone: zone, Address: "127.0.0.1", AdminPorts: []int{1, 2}, HistoryS: 20,
-		Bounds: deployment.Bounds{ConfigurationMS: 2000, LeavingMS: 2000, ZoneOutMS: 5000, StopS: 6, RetryShare: 0.2, RetrySlack: 58, RetryWindowS: 10, ColdSlack: 5},
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	g := gateway.New(ctx, d, listeners, newPlatform(store.Listener.Addr().String()), meter.New("test"), zap.NewNop(), time.Now)
-	w.stop, w.done = cancel, g.Run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		qt.Check(t, <-w.done, qt.IsNil)
-		for _, e := range w.endpoints {
-			e.Close()
-		}
-		store.CloseClientConnections()
-		store.Close()
-	})
-	return w
-}
-
-func newPlatform(address string) gateway.Platform {
-	calls := client.New(address)
-	decode := decoder.New(func(string) (string, bool) { return region, true })
-	skipped := func(string, error) {}
-	return gateway.Platform{Dialect: dialect.New(), Store: supplier.Store{
-		Configurations: feed.Configurations(calls, decode, skipped),
-		Endpoints:      feed.Endpoints(calls, decode, time.Now, skipped),
-		ZonesOut:       feed.ZonesOut(calls),
-		Members:        feed.Members(calls, skipped),
-		Register:       feed.Register(calls),
-		Forgotten:      feed.ErrForgotten,
-	}}
-}
-
-func (w *world) list(e *imitator.Endpoint, state string) {
-	w.store.PutEndpoint(host.Host{ID: e.ID, Service: "stock", Address: e.Address(), AvailabilityZone: zone, Slots: 2, State: state})
-}
-
-// configured waits until the gateway is ready with the configuration.
-func configured(t *testing.T, endpoints int) *world {
-	t.Helper()
-	w := newWorld(t, endpoints)
-	w.store.PutConfiguration(2, classes(), []service.Service{{Name: "stock", HealthPath: "/health", Connections: 100, ColdPerSecond: 5}})
-	w.await("the gateway is ready", w.isReady)
-	return w
-}
-
-func (w *world) await(what string, condition func() bool) {
-	w.t.Helper()
-	awaiter.New(5*time.Millisecond).Await(w.t, 10*time.Second, what, condition)
-}
-
-func (w *world) isReady() bool {
-	response, err := http.Get("http://" + w.ready + "/ready")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
-// dump returns what the gateway says that it knows.
-func (w *world) dump() belief.Belief {
-	w.t.Helper()
-	response, err := http.Get("http://" + w.admin + gateway.DumpPath)
-	qt.Assert(w.t, err, qt.IsNil)
-	defer response.Body.Close()
-	var known belief.Belief
-	qt.Assert(w.t, json.NewDecoder(response.Body).Decode(&known), qt.IsNil)
-	return known
-}
-
-// reply is what a caller got.
-type reply struct {
-	status int
-	body   string
-	header http.Header
-	err    error
-}
-
-// send sends one request and reads its answer whole.
-func (w *world) send(method, path, id, body string) reply {
-	w.t.Helper()
-	request, err := http.NewRequest(method, "http://"+w.address+path, strings.NewReader(body))
-	qt.Assert(w.t, err, qt.IsNil)
-	request.Host = "shop.example"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", "900")
-	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(request)
-	if err != nil {
-		return reply{err: err}
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, body: string(text), header: response.Header, err: err}
-}
-
-// runs returns every run of the request at any endpoint.
-func (w *world) runs(id string) []imitator.Run {
-	var all []imitator.Run
-	for _, e := range w.endpoints {
-		for _, r := range e.Runs() {
-			if r.RequestID == id {
-				all = append(all, r)
-			}
-		}
-	}
-	return all
-}
-
-func (w *world) trouble(work time.Duration, trouble imitator.Trouble) {
-	for _, e := range w.endpoints {
-		e.Set(work, trouble)
-	}
-}
-
 func TestRequestsPassUnchanged(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
@@ -409,3 +233,16 @@
 	c.Assert(second.Close, qt.IsTrue)
 	c.Assert(w.send(http.MethodGet, "/lookup/1", "r3", "").status, qt.Equals, 200, qt.Commentf("a new connection while the balancer has not noticed"))
 }
+
+func TestAHostThatGetsNoConfigurationRefusesAtOnceAfterAWhile(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1)
+	startedAt := time.Now()
+	w.await("requests are no longer held", func() bool {
+		askedAt := time.Now()
+		got := w.send(http.MethodGet, "/lookup/1", "r1", "")
+		qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+		return time.Since(askedAt) < 100*time.Millisecond
+	})
+	qt.Assert(t, time.Since(startedAt) < 2*time.Second, qt.IsTrue)
+}
