Take times of endpoints by the clock of the host that reads them

Cause, found by reading: hosts told each other until when an endpoint is cold by their own clocks. A host whose clock is behind its source's by an hour would have kept a cold endpoint at its small share for an hour more, and one whose clock is ahead would have taken it for warm until a look told otherwise. Ruled out: time left instead of the end (lines are kept and shared, so it would be as old as they are). Change: signs of life carry the sender's clock, the first line of a stream is one, and times are moved by the difference if that is 0.1 s or more. Answers to hosts that ask as seeds begin with one too. Tests: TestTimesOfEndpointsAreThoseOfTheOwnClock, failing before.

--- a/lib/host/host.go
+++ b/lib/host/host.go
@@ -46,6 +46,14 @@
 	return h
 }
 
+// WithClock returns a copy whose times are of a clock that is ahead by the given time.
+func (h Host) WithClock(ahead time.Duration) Host {
+	if !h.ColdUntil.IsZero() {
+		h.ColdUntil = h.ColdUntil.Add(ahead)
+	}
+	return h
+}
+
 // coldTolerance is how far two tellings of the end of coldness may lie apart and still be the same: each telling is
 // late by the way of a heartbeat through the store.
 const coldTolerance = 200 * time.Millisecond
--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -27,6 +27,8 @@
 	GraceMS int64 `json:"grace_ms,omitempty"`
 	// Hops is, in a sign of life, through how many hosts the sender hears the store.
 	Hops int `json:"hops,omitempty"`
+	// AtMS is, in a sign of life, the sender's clock in Unix milliseconds: clocks of hosts may differ.
+	AtMS int64 `json:"at_ms,omitempty"`
 	// Lost says that the sender no longer hears the store.
 	Lost bool `json:"lost,omitempty"`
 }
--- a/poplarhook/services/broadcaster/broadcaster.go
+++ b/poplarhook/services/broadcaster/broadcaster.go
@@ -36,13 +36,13 @@
 	// sent counts what made it so.
 	known [][]byte
 	sent  int64
-	// pulse is the last sign of life, the first line of a new stream: it tells how far the store is.
-	pulse []byte
+	// hops is through how many hosts the store is heard.
+	hops int
 }
 
 // New returns a Broadcaster that serves nobody until it is told to; whole gives everything known.
 func New(whole func() []frame.Frame, clock func() time.Time) *Broadcaster {
-	return &Broadcaster{whole: whole, clock: clock, readers: make(map[chan []byte]context.CancelFunc), pulse: lineOf(frame.Frame{})}
+	return &Broadcaster{whole: whole, clock: clock, readers: make(map[chan []byte]context.CancelFunc)}
 }
 
 // SetServing sets whether new readers are taken; those that read already stay.
@@ -67,11 +67,15 @@
 
 // Pulse tells readers that the store is heard through as many hosts as given before this one's readers.
 func (b *Broadcaster) Pulse(hops int) {
-	line := lineOf(frame.Frame{Hops: hops})
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pulse = line
-	b.push(line)
+	b.hops = hops
+	b.push(b.pulseLine())
+}
+
+// pulseLine returns a sign of life; the lock is held.
+func (b *Broadcaster) pulseLine() []byte {
+	return lineOf(frame.Frame{Hops: b.hops, AtMS: b.clock().UnixMilli()})
 }
 
 // Close ends all streams for good.
@@ -190,7 +194,10 @@
 
 // ServeKnown answers once with everything known, also while this host does not hear the store.
 func (b *Broadcaster) ServeKnown(w http.ResponseWriter, _ *http.Request) {
-	writeAll(w, b.lines())
+	b.mu.Lock()
+	pulse := b.pulseLine()
+	b.mu.Unlock()
+	writeAll(w, slices.Insert(slices.Clone(b.lines()), 0, pulse))
 }
 
 // writeAll reports whether all lines could be written.
@@ -239,7 +246,7 @@
 	}
 	queue = make(chan []byte, queueLength)
 	b.readers[queue] = cancel
-	return queue, b.pulse, true
+	return queue, b.pulseLine(), true
 }
 
 func (b *Broadcaster) leave(queue chan []byte) {
--- a/poplarhook/services/broadcaster/broadcaster_test.go
+++ b/poplarhook/services/broadcaster/broadcaster_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,10 +52,14 @@
 	return lines
 }
 
+// clock matches the time in a sign of life.
+var clock = regexp.MustCompile(`,?"at_ms":\d+`)
+
+// next returns the next line without the time.
 func next(t *testing.T, lines *bufio.Scanner) string {
 	t.Helper()
 	qt.Assert(t, lines.Scan(), qt.IsTrue)
-	return lines.Text()
+	return clock.ReplaceAllString(lines.Text(), "")
 }
 
 func TestReadersThatComeTogetherShareWhatIsKnown(t *testing.T) {
--- a/poplarhook/services/supplier/relay_test.go
+++ b/poplarhook/services/supplier/relay_test.go
@@ -1,6 +1,7 @@
 package supplier_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -37,30 +38,22 @@
 	})
 }
 
-func TestNoHostServesMoreThanAFewAndChangesReachAll(t *testing.T) {
-	w := newWorld(t, 9, supplier.WithFanout(fanout))
+// newTree starts hosts that read from each other in a tree.
+func newTree(t *testing.T, hosts int) *world {
+	t.Helper()
+	w := newWorld(t, hosts, supplier.WithFanout(fanout))
 	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
 	w.settleIntoTree()
-	before := w.store.Calls("watch") + w.store.Calls("list")
-	for version := int64(2); version <= 6; version++ {
-		w.configure(version)
-		w.all(bound, "a changed configuration", hasVersion(version))
-	}
-	calls := w.store.Calls("watch") + w.store.Calls("list") - before
+	return w
+}
+
+func TestNoHostServesMoreThanAFewAndChangesReachAll(t *testing.T) {
+	calls := newTree(t, 9).changeFiveTimes()
 	qt.Assert(t, calls <= 12, qt.IsTrue, qt.Commentf("%d calls for 5 changes at 9 hosts", calls))
 }
 
 func TestAChangeIsKnownInTimeWhenAnyHostOfATreeDies(t *testing.T) {
-	w := newWorld(t, 8, supplier.WithFanout(fanout))
-	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-	w.settleIntoTree()
-	version := int64(1)
-	for len(w.hosts) > 1 {
-		w.drop(w.hosts[0])
-		version++
-		w.configure(version)
-		w.all(bound, "a configuration after a host has died", hasVersion(version))
-	}
+	newTree(t, 8).loseOneByOne()
 }
 
 // Hosts below the first lose their source at the same moment as those above them.
@@ -70,9 +63,7 @@
 		"it falls silent": func(_ *world, first *entryHost) { first.silence() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(t, 9, supplier.WithFanout(fanout))
-			w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-			w.settleIntoTree()
+			w := newTree(t, 9)
 			before := w.followed()
 			lose(w, w.hosts[slices.IndexFunc(w.hosts, (*entryHost).followsStore)])
 			w.configure(2)
@@ -93,21 +84,34 @@
 }
 
 func TestEveryHostOfATreeLearnsOfTheGraceAfterAnOutage(t *testing.T) {
-	w := newWorld(t, 6, supplier.WithFanout(fanout))
-	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-	w.settleIntoTree()
-	w.store.SetDown(true)
-	w.all(5*time.Second, "the loss of the store is noticed", func(e *entryHost) bool { return !e.isHeard() })
-	downAt := time.Now()
-	awaiter.New(5*time.Millisecond).Await(t, 5*time.Second, "the outage is long enough for entries to lapse", func() bool {
-		return time.Since(downAt) > 600*time.Millisecond
-	})
-	w.configure(2)
-	w.store.SetDown(false)
+	w := newTree(t, 6)
+	w.playOutage(2)
 	w.all(bound, "a configuration from during the outage", hasVersion(2))
 	w.all(bound, "every host gives lapsed entries a grace", (*entryHost).hadGrace)
 }
 
+// Clocks of hosts may be hours apart.
+func TestTimesOfEndpointsAreThoseOfTheOwnClock(t *testing.T) {
+	const ahead = time.Hour
+	coldFor := 30 * time.Second
+	endpoint, err := json.Marshal(map[string]host.Host{"e": {ID: "e", ColdUntil: time.Now().Add(ahead + coldFor)}})
+	qt.Assert(t, err, qt.IsNil)
+	source := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprintf(rw, "{\"at_ms\":%d}\n{\"feed\":\"endpoints\",\"revision\":9,\"items\":%s}\n", time.Now().Add(ahead).UnixMilli(), endpoint)
+		_ = http.NewResponseController(rw).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(source.Close)
+	w := newWorld(t, 0)
+	w.store.Put(feed.KindMembers, "source", host.Host{ID: "source", Region: "region", PeerAddress: source.Listener.Addr().String(), Capacity: 9})
+	e := w.start("host-0")
+	w.all(5*time.Second, "the endpoint", func(e *entryHost) bool { return e.knows("e") })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	qt.Assert(t, time.Until(e.items["e"].ColdUntil) < coldFor+time.Second, qt.IsTrue)
+	qt.Assert(t, time.Until(e.items["e"].ColdUntil) > coldFor-10*time.Second, qt.IsTrue)
+}
+
 // Hosts that only read from each other would believe for ever that they are up to date.
 func TestAHostThatHearsTheStoreThroughTooManyIsNoSource(t *testing.T) {
 	far := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -130,13 +134,12 @@
 
 // Changes of endpoints are read together, so one may come and go, or go and come back, in what one watch brings.
 func TestEndpointsThatComeAndGoAtOnceAreToldAsTheyEnd(t *testing.T) {
-	w := newWorld(t, 4, supplier.WithFanout(fanout))
+	w := newTree(t, 4)
 	back := host.Host{ID: "back", Service: "s", Address: "127.0.0.1:2", AvailabilityZone: "z", Slots: 2, State: host.StateLive}
 	gone, marker := back, back
 	gone.ID, marker.ID = "gone", "marker"
 	w.store.PutEndpoint(back)
 	w.all(10*time.Second, "the first endpoint", func(e *entryHost) bool { return e.knows("back") })
-	w.settleIntoTree()
 	w.store.PutEndpoint(gone)
 	w.store.RemoveEndpoint("back")
 	w.store.RemoveEndpoint("gone")
@@ -178,9 +181,7 @@
 
 // Were it to serve, those below it would read from it and nobody would follow the store.
 func TestAHostThatHearsTheStoreThroughOneBelowItDoesNotServe(t *testing.T) {
-	w := newWorld(t, 4)
-	w.all(10*time.Second, "hosts are up to date", (*entryHost).isHeard)
-	w.settle()
+	w := newSettled(t, 4)
 	first := w.hosts[slices.IndexFunc(w.hosts, (*entryHost).followsStore)]
 	first.refuse(true)
 	for version := int64(2); version <= 6; version++ {
--- a/poplarhook/services/supplier/stream.go
+++ b/poplarhook/services/supplier/stream.go
@@ -27,6 +27,8 @@
 	source host.Host
 	begun  func()
 	served bool
+	// put takes in what the other host tells.
+	put func(f frame.Frame) error
 	// relayed says that the other host does not follow the store itself.
 	relayed bool
 	// below says that the other host is below this one in rank: others must not read from this host then, as the other
@@ -37,7 +39,7 @@
 // read follows the views of another host until that ends, and then keeps away from it for a while.
 func (s *Supplier) read(ctx context.Context, source host.Host, begun func()) {
 	startedAt := s.clock()
-	r := &stream{s: s, source: source, begun: begun, below: s.isBelow(source)}
+	r := &stream{s: s, source: source, begun: begun, below: s.isBelow(source), put: s.taker()}
 	err := r.subscribe(ctx, s.firstLine())
 	for errors.Is(err, shelf.ErrApart) && ctx.Err() == nil {
 		// The other host's list as a whole is newer by now than this host's own.
@@ -87,12 +89,12 @@
 
 // take takes a frame in; signs of life go on to this host's own readers.
 func (r *stream) take(f frame.Frame) error {
+	if err := r.put(f); err != nil {
+		return err
+	}
 	if f.IsPulse() {
 		return r.pulse(f.Hops)
 	}
-	if err := r.s.take(f); err != nil {
-		return err
-	}
 	r.s.broadcaster.SetServing(!r.below)
 	if r.served {
 		return nil
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -255,7 +255,7 @@
 		if address == s.self.PeerAddress {
 			continue
 		}
-		if err := s.subscriber.Ask(ctx, address, s.take); err != nil {
+		if err := s.subscriber.Ask(ctx, address, s.taker()); err != nil {
 			s.logger.Warn("seed does not answer", zap.String("address", address), zap.String("error", err.Error()))
 			continue
 		}
@@ -314,8 +314,21 @@
 	s.grace(s.lapseGrace)
 }
 
+// taker returns what puts the views of another host's frames on their shelves.
+func (s *Supplier) taker() func(f frame.Frame) error {
+	// ahead is how far this host's clock is ahead of the other one's.
+	var ahead time.Duration
+	return func(f frame.Frame) error {
+		if f.IsPulse() {
+			ahead = s.clock().Sub(time.UnixMilli(f.AtMS))
+			return nil
+		}
+		return s.take(f, ahead)
+	}
+}
+
 // take puts the view of a frame on its shelf; a grace counts before what the frame leaves out.
-func (s *Supplier) take(f frame.Frame) error {
+func (s *Supplier) take(f frame.Frame, ahead time.Duration) error {
 	now := s.clock()
 	if left := time.Duration(f.GraceMS) * time.Millisecond; left > 0 {
 		s.broadcaster.SetGrace(now.Add(left))
@@ -325,7 +338,11 @@
 	case feedConfiguration:
 		return put(s.configuration, f, now)
 	case feedEndpoints:
-		return put(s.endpoints, f, now)
+		v, err := frame.View[host.Host](f, now)
+		if err != nil {
+			return err
+		}
+		return s.endpoints.PutTold(byOwnClock(v, ahead))
 	case feedZonesOut:
 		return put(s.zonesOut, f, now)
 	case feedMembers:
@@ -335,6 +352,24 @@
 	}
 }
 
+// clockTolerance is how far the clocks of two hosts may lie apart without a difference: less than the heartbeats by which
+// endpoints tell their times.
+const clockTolerance = 100 * time.Millisecond
+
+// byOwnClock returns the view with the times of this host's clock, which is ahead of the teller's by the given time.
+func byOwnClock(v view.View[host.Host], ahead time.Duration) view.View[host.Host] {
+	if ahead.Abs() < clockTolerance {
+		return v
+	}
+	for id, h := range v.Items {
+		v.Items[id] = h.WithClock(ahead)
+	}
+	for i, c := range v.Changed {
+		v.Changed[i].Value = c.Value.WithClock(ahead)
+	}
+	return v
+}
+
 func put[T any](on *shelf.Shelf[T], f frame.Frame, now time.Time) error {
 	v, err := frame.View[T](f, now)
 	if err != nil {
