Use a scarce credit of a distant owner for several requests

Cause: while other hosts wait, a host gives a credit back after 20 ms. Between regions 12 ms apart the request alone takes longer, so each credit crosses the network twice for every request and is on the way for more than half of its time. Hops of a busy machine that take 20 to 40 ms leave 480 and 315 requests a second of the 2,000 that two endpoints can answer (simulation), and a backlog from the time when the endpoints are cold does not shrink. This is the state that was seen in TestHomeBoundRequestsFromOtherRegionsAreServed: 16 credits lent of each endpoint and hundreds of requests waiting. Ruled out: lost releases, credits bound and not sent, a limit that fell. With 50 and 300 ms pauses of the owner's or the borrowers' region the fleet recovered within half a second, and the limits were 5 and 5 throughout. Change: a borrower measures how long a credit takes to arrive and uses a scarce one for four times as long at least. What is left: requests in flight still count against the endpoints for their time on the network; at 40 ms the most is about 340/s.

--- a/lib/borrower/after_event.go
+++ b/lib/borrower/after_event.go
@@ -120,12 +120,20 @@
 
 // mayReuse reports whether a credit may be kept for another request: never with a hold time of zero, and otherwise
 // always while credits are not scarce. While they are, a credit must be released once its grant is as long ago as the
-// hold time or the maximum reuse time.
+// scarce reuse time.
 func (b *Borrower) mayReuse(now, grantedAt time.Time) bool {
 	if b.holdTime <= 0 {
 		return false
 	}
-	return !b.isCreditScarce(now) || now.Sub(grantedAt) < min(b.holdTime, b.maxReuseTime)
+	return !b.isCreditScarce(now) || now.Sub(grantedAt) < b.scarceReuseTime()
+}
+
+// scarceReuseTime returns how long after its grant a scarce credit may be used for another request.
+//
+// An endpoint has no work on a credit in transit. The farther away the owner is, the more requests a credit has to
+// serve for each transfer, or else the transfers and not the endpoints limit how many requests are served.
+func (b *Borrower) scarceReuseTime() time.Duration {
+	return max(min(b.holdTime, b.maxReuseTime), reuseTransferTimes*b.transfer.transferTime())
 }
 
 // releaseStale releases the credits that have been idle for the hold time, or all idle credits while credits are
--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -30,6 +30,7 @@
 	undemanded *waitlist.Waitlist[uint64, rightKind]
 	// pending holds the rights that are demanded and not answered with a credit.
 	pending  pendingRights
+	transfer transferMeter
 	accounts map[string]*account
 	// ordered holds the accounts sorted by endpoint, so that replaying a trace always has the same outcome.
 	ordered       []*account
@@ -109,6 +110,7 @@
 	}
 	for i := range uint64(max(c.Count, 0)) {
 		if r, ok := b.pending.remove(c.Sequence + i); ok {
+			b.transfer.record(now, now.Sub(r.demandedAt))
 			b.useGrantedRight(now, &a, c, r)
 		}
 	}
@@ -137,7 +139,7 @@
 // owner.
 //
 // While other borrowers wait, a credit is not used again once it has been held for the shorter of the hold time and the
-// maximum reuse time. If this host has requests in flight, a new request waits for one of their credits for a tenth of
+// maximum reuse time, or for a multiple of the time that a credit takes to arrive here if that is longer. If this host has requests in flight, a new request waits for one of their credits for a tenth of
 // the hold time, at most for the maximum local wait, before it demands another credit from the owner.
 func (b *Borrower) SetHoldTime(d time.Duration) {
 	b.holdTime = d
--- a/lib/borrower/options.go
+++ b/lib/borrower/options.go
@@ -10,6 +10,8 @@
 	defaultMaxReuseTime     = 20 * time.Millisecond
 	// holdTimeDivisor is the divisor of the hold time that gives the local wait of a request.
 	holdTimeDivisor = 10
+	// reuseTransferTimes is the factor by which the reuse time of a scarce credit is at least longer than its transfer.
+	reuseTransferTimes = 4
 	// remainingTimeDivisor bounds the local wait: it is at most the time left to the deadline, divided by this.
 	remainingTimeDivisor = 4
 )
@@ -29,7 +31,7 @@
 }
 
 // WithMaxReuseTime bounds how long a credit is used for one request after another while other borrowers wait,
-// regardless of the hold time.
+// regardless of the hold time, unless credits take long to arrive.
 func WithMaxReuseTime(d time.Duration) Option {
 	return func(b *Borrower) { b.maxReuseTime = d }
 }
--- a/lib/borrower/pending_rights.go
+++ b/lib/borrower/pending_rights.go
@@ -28,8 +28,9 @@
 	kind rightKind
 	// excluded is the endpoint that the demand excludes. It may be set although the request excludes none; see
 	// Borrower.excludedEndpoint.
-	excluded string
-	until    time.Time
+	excluded   string
+	demandedAt time.Time
+	until      time.Time
 	// resendWait is the current interval at which the demand is sent again.
 	resendWait time.Duration
 	// late is true once the deadline has passed; a credit may still arrive.
@@ -64,7 +65,7 @@
 
 // add stores a new pending right under the next sequence number and returns the demand for it.
 func (l *pendingRights) add(now time.Time, kind rightKind, excluded string, until time.Time) demand.Demand {
-	r := &pendingRight{kind: kind, excluded: excluded, until: until, resendWait: l.resendInterval}
+	r := &pendingRight{kind: kind, excluded: excluded, demandedAt: now, until: until, resendWait: l.resendInterval}
 	sequence := l.nextSequence
 	l.nextSequence++
 	l.rights[sequence] = r
