--- a/poplarhook/services/arbiter/distance_test.go
+++ b/poplarhook/services/arbiter/distance_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-
 	"math/rand/v2"
 	"slices"
 	"testing"
