Do not count an endpoint as free whose probe answer is late

Cause: when no probe was answered within 15 ms, the request was bound to the first candidate. Without a report and without own requests in flight it counted as free, however full it was. Change: reports that have come meanwhile are used; without any, a second round of probes is sent before the request goes to an endpoint of unknown load.

--- a/poplarhook/services/selector/bind.go
+++ b/poplarhook/services/selector/bind.go
@@ -35,7 +35,7 @@
 
 // Bind probes the endpoints with the shortest estimates and binds the request to the one that should answer first.
 func (s *Selector) Bind(ctx context.Context, req requirement.Requirement) (binding.Binding, error) {
-	for {
+	for round := 1; ; round++ {
 		best, found := s.findBest(ctx, req)
 		if !found && ctx.Err() != nil {
 			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "given up while endpoints were looked at").WithRetryAfter(noEndpointRetryAfter)
@@ -44,7 +44,7 @@
 			s.logger.Warn("no endpoint is open", zap.String("request", req.RequestID), zap.String("class", req.Class))
 			return binding.Binding{}, refusal.NotRun(http.StatusServiceUnavailable, "no endpoint is open").WithRetryAfter(noEndpointRetryAfter)
 		}
-		switch s.decide(best, req) {
+		switch s.decide(best, req, round) {
 		case admitter.Send:
 			if b, bound := s.bindTo(best, req); bound {
 				return b, nil
@@ -82,8 +82,19 @@
 		zap.Duration("estimate", best.estimate), zap.Duration("target_in", req.Target.Sub(now)), zap.Duration("deadline_in", req.Deadline.Sub(now)))
 }
 
-// decide decides whether the request is sent to its best endpoint, waits or is refused.
-func (s *Selector) decide(best candidate, req requirement.Requirement) admitter.Decision {
+// maxUnansweredRounds is how many rounds of probes without any answer there are before the request is sent all the same.
+// A single one may be due to a pause of this host.
+const maxUnansweredRounds = 2
+
+// decide decides whether the request is sent to its best endpoint, waits or is refused, after the given number of rounds
+// of probes.
+func (s *Selector) decide(best candidate, req requirement.Requirement, round int) admitter.Decision {
+	if best.unanswered {
+		if round >= maxUnansweredRounds {
+			return admitter.Send
+		}
+		return admitter.Wait
+	}
 	now := s.clock()
 	s.mu.Lock()
 	serviceTime := s.serviceTimeOf(req)
--- a/poplarhook/services/selector/candidate.go
+++ b/poplarhook/services/selector/candidate.go
@@ -18,15 +18,17 @@
 	probedAt time.Time
 	// inFlightBefore is how many requests of this host were in flight at the endpoint when the probe was sent.
 	inFlightBefore int
+	// unanswered is true if the endpoint has not answered its probe in time, so that its load is not known.
+	unanswered bool
 }
 
 // hasFreeSlot reports whether the endpoint is expected to process the request at once.
 //
 // An endpoint that does not report its load counts as free if this host had no
-// request in flight there.
+// request in flight there and it answered its probe.
 func (c candidate) hasFreeSlot() bool {
 	if !c.report.HasLoad {
-		return c.inFlightBefore == 0
+		return c.inFlightBefore == 0 && !c.unanswered
 	}
 	return c.report.InFlight < max(c.report.Slots, 1) && c.report.Waiting == 0
 }
--- a/poplarhook/services/selector/probe.go
+++ b/poplarhook/services/selector/probe.go
@@ -42,7 +42,7 @@
 		case <-ctx.Done():
 			return probed
 		case <-timer.C:
-			return s.probedOrFirst(probed, candidates)
+			return s.probedOrFirst(req, probed, candidates)
 		case c := <-answers:
 			if c.report.Err != nil {
 				continue
@@ -63,18 +63,42 @@
 	return s.probeBudget.Take(now, s.probeRate(), wanted)
 }
 
-// probedOrFirst returns the probed candidates. If there is none it returns the first of all candidates, with a minute
-// added to its estimate.
-func (s *Selector) probedOrFirst(probed, candidates []candidate) []candidate {
+// probedOrFirst returns the probed candidates. If there is none it returns those with a recent report, or else the first
+// of all candidates as unanswered, with a minute added to its estimate.
+func (s *Selector) probedOrFirst(req requirement.Requirement, probed, candidates []candidate) []candidate {
 	if len(probed) > 0 {
 		return probed
 	}
 	s.counter("looks_unanswered")
+	if reported := s.withRecentReports(req, candidates); len(reported) > 0 {
+		return reported
+	}
 	first := candidates[0]
 	first.estimate += time.Minute
+	first.unanswered = true
 	return []candidate{first}
 }
 
+// withRecentReports returns the candidates that have reported their load recently, with estimates from these reports.
+func (s *Selector) withRecentReports(req requirement.Requirement, candidates []candidate) []candidate {
+	var reported []candidate
+	now := s.clock()
+	for _, c := range candidates {
+		s.mu.Lock()
+		e := s.stateOf(&c.host)
+		isRecent := now.Sub(e.lastReportAt) < maxReportAge
+		c.report, c.probedAt = e.lastReport, e.lastReportAt
+		s.mu.Unlock()
+		if !isRecent {
+			continue
+		}
+		if estimated, open := s.withEstimate(c, req); open {
+			reported = append(reported, estimated)
+		}
+	}
+	return reported
+}
+
 // probeOne probes one endpoint and updates its state with the answer.
 func (s *Selector) probeOne(c candidate) candidate {
 	ctx, cancel := context.WithTimeout(s.background, probeTimeout)
--- a/poplarhook/services/selector/selector_test.go
+++ b/poplarhook/services/selector/selector_test.go
@@ -26,6 +26,8 @@
 	hosts   map[group.Group][]host.Host
 	reports map[string]report.Report
 	probes  map[string]int
+	// delay is how long an endpoint takes to answer a probe.
+	delay time.Duration
 }
 
 func newFakeCluster() *fakeCluster {
@@ -53,7 +55,9 @@
 	w.mu.Lock()
 	w.probes[endpoint.ID]++
 	r := w.reports[endpoint.ID]
+	delay := w.delay
 	w.mu.Unlock()
+	time.Sleep(delay)
 	if errors.Is(r.Err, errSilent) {
 		<-ctx.Done()
 	}
@@ -233,6 +237,17 @@
 	c.Assert(r.RetryAfter <= time.Second, qt.IsTrue, qt.Commentf("%s", r.RetryAfter))
 }
 
+// A full endpoint whose answer to the probe comes late does not count as free.
+func TestFullEndpointWithLateProbeAnswerGetsNoRequest(t *testing.T) {
+	c := qt.New(t)
+	w := newFakeCluster().addEndpoint(own, "full", newBusyReport(2, 200))
+	w.delay = 22 * time.Millisecond
+	_, err := newSelector(t, w).Bind(context.Background(), newRequest())
+	var r *refusal.Refusal
+	c.Assert(errors.As(err, &r), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, refusal.ErrNotRun), qt.IsTrue)
+}
+
 func TestReplacedEndpointIsNotUsedUntilItsIncarnationChanges(t *testing.T) {
 	c := qt.New(t)
 	w := newFakeCluster().addEndpoint(own, "replaced", newIdleReport(1))
