Bound answers without end, and believe only refusals that carry the id of their request

Cause: http.ReadResponse reads a head of any size. Twenty endpoints that send a status line or header without end took 323 to 1,036 MB within the 8 MB that the test sends on each connection; interim responses ran on until the deadline. Answers of the store and of peers had heads of up to 10 MB and items without bound after decompression. A health check with an endless body counted as answered, and an answer that broke off after its first 64 KiB as a success of its endpoint. A refusal without id was believed although it may belong to another request, and a request that was sent again on the connection of its refusal could get the late second copy of that refusal while it ran. Change: the head of an answer, with its interim responses, is limited to max_answer_head bytes (64 KiB by default, checked) and 256 lines; heads above 4 KiB share 4 MiB a host. Heads of the store and peers are limited to 64 KiB, their bodies and frames to a size and a time. Health checks need a small whole body, refusals the id, and a request is not sent again on the connection that has just carried it. Endpoints of the own protocol may return X-Request-Id. The idle pool of an endpoint has the size of its share of connections in serve; gateway keeps its four.

--- a/lib/deployment/deployment.go
+++ b/lib/deployment/deployment.go
@@ -37,7 +37,9 @@
 	// Mbit/s.
 	Processor float64 `json:"processor"`
 	Link      float64 `json:"link_mbps"`
-	Bounds    Bounds  `json:"bounds"`
+	// MaxAnswerHead is how many bytes the head of an endpoint's answer may have, zero for the default.
+	MaxAnswerHead int    `json:"max_answer_head"`
+	Bounds        Bounds `json:"bounds"`
 }
 
 // Bounds are the guarantees of the deployment to its users.
@@ -90,7 +92,7 @@
 }
 
 func (d Deployment) check() error {
-	for _, check := range []func() error{d.checkNames, d.checkAddresses, d.checkPorts, d.checkBounds} {
+	for _, check := range []func() error{d.checkNames, d.checkAddresses, d.checkPorts, d.checkAnswerHead, d.checkBounds} {
 		if err := check(); err != nil {
 			return err
 		}
@@ -137,6 +139,27 @@
 	return nil
 }
 
+const (
+	minAnswerHead     = 1 << 10
+	defaultAnswerHead = 64 << 10
+	maxAnswerHead     = 1 << 20
+)
+
+func (d Deployment) checkAnswerHead() error {
+	if d.MaxAnswerHead != 0 && (d.MaxAnswerHead < minAnswerHead || d.MaxAnswerHead > maxAnswerHead) {
+		return newInvalidError("max_answer_head", d.MaxAnswerHead, fmt.Sprintf("%d to %d bytes, or 0 for %d", minAnswerHead, maxAnswerHead, defaultAnswerHead))
+	}
+	return nil
+}
+
+// AnswerHeadLimit returns how many bytes the head of an endpoint's answer may have.
+func (d Deployment) AnswerHeadLimit() int {
+	if d.MaxAnswerHead == 0 {
+		return defaultAnswerHead
+	}
+	return d.MaxAnswerHead
+}
+
 func (d Deployment) checkBounds() error {
 	bounds := []struct {
 		field string
--- a/lib/deployment/deployment_test.go
+++ b/lib/deployment/deployment_test.go
@@ -44,6 +44,8 @@
 		"ports in order":  {"admin_ports", []int{7600, 7600}, "admin_ports is"},
 		"no bounds":       {"bounds", map[string]any{}, "bounds.configuration_ms is"},
 		"history of zero": {"history_s", 0, "history_s is"},
+		"small head":      {"max_answer_head", 1023, `max_answer_head is "1023": allowed is 1024 to 1048576 bytes, or 0 for 65536`},
+		"large head":      {"max_answer_head", 1<<20 + 1, `max_answer_head is "1048577"`},
 		"negative number": {"processor", -0.5, `processor is "-0.5": allowed is a number that is zero or above`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/lib/lister/lister.go
+++ b/lib/lister/lister.go
@@ -16,6 +16,7 @@
 const (
 	defaultTimeout = 2 * time.Second
 	maxListBytes   = 64 << 20
+	maxHeadBytes   = 64 << 10
 )
 
 var (
@@ -43,7 +44,7 @@
 
 // New returns a client of the host list at a base URL such as http://127.0.0.1:7000.
 func New(baseURL string, options ...Option) *Lister {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}
 	l := &Lister{
 		baseURL:   strings.TrimSuffix(baseURL, "/"),
 		timeout:   defaultTimeout,
--- a/lib/storer/storer.go
+++ b/lib/storer/storer.go
@@ -25,6 +25,7 @@
 	objectsPath    = "/v1/objects"
 	watchPath      = "/v1/watch/"
 	maxListBytes   = 16 << 20
+	maxHeadBytes   = 64 << 10
 )
 
 var (
@@ -63,7 +64,7 @@
 
 // New returns a client of the store at a base URL such as http://127.0.0.1:7000.
 func New(baseURL string, options ...Option) *Storer {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxHeadBytes}
 	s := &Storer{
 		baseURL:   strings.TrimSuffix(baseURL, "/"),
 		timeout:   defaultTimeout,
--- a/poplarhook/models/frame/frame.go
+++ b/poplarhook/models/frame/frame.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"encoding/json"
+	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,9 @@
 // for a moment, which is worth it for lists of more than some hundred endpoints.
 const minCompressedBytes = 32 << 10
 
+// maxUnpackedBytes bounds the size of decompressed items; a few packed bytes can decompress to gigabytes.
+const maxUnpackedBytes = 32 << 20
+
 // New returns the frame of a view. It holds the changes if the view has them, otherwise all items.
 func New[T any](feed string, v view.View[T]) (Frame, error) {
 	f := Frame{Feed: feed, Revision: v.Revision}
@@ -79,7 +83,7 @@
 		v.Changed, v.Since = []change.Change[T]{}, f.Since
 		return v, errors.Wrapf(json.Unmarshal(f.Changes, &v.Changed), "changes of %s", f.Feed)
 	case f.Packed != nil:
-		unpacked := json.NewDecoder(flate.NewReader(bytes.NewReader(f.Packed)))
+		unpacked := json.NewDecoder(io.LimitReader(flate.NewReader(bytes.NewReader(f.Packed)), maxUnpackedBytes))
 		return v, errors.Wrapf(unpacked.Decode(&v.Items), "packed items of %s", f.Feed)
 	default:
 		return v, errors.Wrapf(json.Unmarshal(f.Items, &v.Items), "items of %s", f.Feed)
--- a/poplarhook/modules/exchanger/connection.go
+++ b/poplarhook/modules/exchanger/connection.go
@@ -23,9 +23,12 @@
 type connection struct {
 	conn   net.Conn
 	socket syscall.RawConn
+	head   *headLimiter
 	reader *bufio.Reader
 	// confirmedAt is when the connection was opened or last became idle: the endpoint was reachable on it then.
 	confirmedAt time.Time
+	// lastRequestID is the id of the last request that was sent on the connection, empty if it had none.
+	lastRequestID string
 	// idleTimeout is how long the endpoint keeps idle connections open according to its Keep-Alive header, zero if it
 	// does not state a time.
 	idleTimeout time.Duration
@@ -36,7 +39,7 @@
 }
 
 // newConnection returns a connection that uses conn and has no watch.
-func newConnection(conn net.Conn, now time.Time) (*connection, error) {
+func newConnection(conn net.Conn, r reserver, now time.Time) (*connection, error) {
 	withSocket, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, errors.Errorf("connection of type %T has no socket", conn)
@@ -45,7 +48,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "socket")
 	}
-	return &connection{conn: conn, socket: socket, reader: bufio.NewReader(conn), confirmedAt: now}, nil
+	head := &headLimiter{conn: conn, reserver: r}
+	return &connection{conn: conn, socket: socket, head: head, reader: bufio.NewReader(head), confirmedAt: now}, nil
 }
 
 // interruptOn makes reads and writes fail when the context ends, until stop is called. Stop returns false if they were
@@ -66,14 +70,17 @@
 	return errors.Wrapf(ErrBroken, "write to %s stopped after %d bytes: %v", c.conn.RemoteAddr(), n, err)
 }
 
-// receive reads the status line and header of the final response and skips interim (1xx) responses.
+// receive reads the status line and header of the final response and skips interim (1xx) responses. It fails with
+// errHeadTooLarge if they have more than maxHeadBytes bytes or too many lines together.
 //
 // A watch that was stopped but has not ended yet ends at the response's first byte, or when the connection is
 // interrupted or closed.
-func (c *connection) receive(request *http.Request) (*http.Response, error) {
+func (c *connection) receive(request *http.Request, maxHeadBytes int) (*http.Response, error) {
 	if err := c.awaitWatch(); err != nil {
 		return nil, err
 	}
+	c.head.limit(maxHeadBytes)
+	defer c.head.unlimit()
 	for {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
--- a/poplarhook/modules/exchanger/exchanger.go
+++ b/poplarhook/modules/exchanger/exchanger.go
@@ -25,6 +25,9 @@
 // ErrTrailingBytes means that the endpoint sent more bytes than the length it declared.
 var ErrTrailingBytes = errors.New("answer is longer than its declared length")
 
+// maxErrorBytes bounds the part of an error's text that may come from an endpoint, in bytes.
+const maxErrorBytes = 200
+
 const (
 	defaultDialTimeout = 500 * time.Millisecond
 	defaultMaxIdle     = 4
@@ -43,7 +46,11 @@
 	dialTimeout    time.Duration
 	maxIdle        int
 	maxOpen        int
+	maxHeadBytes   int
+	headReserver   reserver
 	idleClosedHook func(address string)
+	// requestID returns the id of a request, empty for none.
+	requestID func(header http.Header) string
 	// allowCloseDelimited is true if a response without a declared length may end with its connection.
 	allowCloseDelimited bool
 	// allowTrailingBytes is true if a response is accepted although more bytes follow it. Its connection is then
@@ -74,11 +81,27 @@
 	return func(e *Exchanger) { e.maxIdle = n }
 }
 
+// WithMaxHead sets how many bytes the head of an answer may have, at least 1, with the interim responses before it.
+func WithMaxHead(bytes int) Option {
+	return func(e *Exchanger) { e.maxHeadBytes = max(bytes, 1) }
+}
+
+// WithHeadReserver sets what limits the memory of the large heads that several Exchangers read at the same time.
+func WithHeadReserver(r reserver) Option {
+	return func(e *Exchanger) { e.headReserver = r }
+}
+
 // WithIdleClosedHook sets the function that is called when the endpoint closes an idle connection or sends bytes on it.
 func WithIdleClosedHook(hook func(address string)) Option {
 	return func(e *Exchanger) { e.idleClosedHook = hook }
 }
 
+// WithRequestID sets the function that returns the id of a request. A request is not sent on the connection that has just
+// carried one of the same id: a late second copy of the first answer could not be told from the answer to the second.
+func WithRequestID(requestID func(header http.Header) string) Option {
+	return func(e *Exchanger) { e.requestID = requestID }
+}
+
 // WithDialTimeout sets the timeout for opening a connection.
 func WithDialTimeout(d time.Duration) Option {
 	return func(e *Exchanger) { e.dialTimeout = d }
@@ -117,7 +140,10 @@
 		dialTimeout:    defaultDialTimeout,
 		maxIdle:        defaultMaxIdle,
 		maxOpen:        defaultMaxOpen,
+		maxHeadBytes:   defaultMaxHeadBytes,
+		headReserver:   unlimitedReserver{},
 		idleClosedHook: func(string) {},
+		requestID:      func(http.Header) string { return "" },
 	}
 	for _, option := range options {
 		option(e)
@@ -136,7 +162,8 @@
 	if err := request.Write(&message); err != nil {
 		return nil, errors.Wrapf(ErrNotAttempted, "encode request for %s: %v", e.address, err)
 	}
-	c, err := e.acquire(ctx, maxIdleTime, requireOpen)
+	id := e.requestID(request.Header)
+	c, err := e.acquire(ctx, maxIdleTime, requireOpen, id)
 	if err != nil {
 		return nil, err
 	}
@@ -144,17 +171,18 @@
 		e.returnUnused(c) //nolint:contextcheck // the watch of an idle connection outlives the request
 		return nil, errors.Wrapf(ErrNotAttempted, "the right to send to %s ended at %s", e.address, sendBy)
 	}
+	c.lastRequestID = id
 	stop := c.interruptOn(ctx)
 	if err := c.send(message.Bytes()); err != nil {
 		stop()
 		e.discard(c)
 		return nil, err
 	}
-	response, err := c.receive(request)
+	response, err := c.receive(request, e.maxHeadBytes)
 	if err != nil {
 		stop()
 		e.discard(c)
-		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %v", e.address, err)
+		return nil, errors.Wrapf(ErrBroken, "read answer of %s: %.*v", e.address, maxErrorBytes, err)
 	}
 	c.readIdleTimeout(response.Header)
 	if !e.allowCloseDelimited && isCloseDelimited(response) {
@@ -206,9 +234,10 @@
 	return counts
 }
 
-// acquire returns an idle connection that was confirmed recently, or a new one.
-func (e *Exchanger) acquire(ctx context.Context, maxIdleTime time.Duration, requireOpen bool) (*connection, error) {
-	if c := e.acquireIdle(maxIdleTime); c != nil {
+// acquire returns an idle connection that was confirmed recently and did not just carry a request of the id, or a new
+// one.
+func (e *Exchanger) acquire(ctx context.Context, maxIdleTime time.Duration, requireOpen bool, id string) (*connection, error) {
+	if c := e.acquireIdle(maxIdleTime, id); c != nil {
 		return c, nil
 	}
 	if requireOpen && !e.hasOpenIdle() {
@@ -224,7 +253,7 @@
 		e.releaseSlot()
 		return nil, errors.Wrapf(ErrNotSent, "connect to %s: %v", e.address, err)
 	}
-	c, err := newConnection(conn, e.clock())
+	c, err := newConnection(conn, e.headReserver, e.clock())
 	if err != nil {
 		conn.Close()
 		e.releaseSlot()
@@ -244,11 +273,11 @@
 	return slices.ContainsFunc(e.idle, (*connection).isOpenWithoutInput)
 }
 
-// acquireIdle returns the idle connection that was confirmed last, nil if there is none within maxIdleTime. It discards
-// those that the endpoint closed or sent bytes on.
-func (e *Exchanger) acquireIdle(maxIdleTime time.Duration) *connection {
+// acquireIdle returns the idle connection that was confirmed last, nil if there is none within maxIdleTime. It leaves
+// out one whose last request had the id, and discards those that the endpoint closed or sent bytes on.
+func (e *Exchanger) acquireIdle(maxIdleTime time.Duration, id string) *connection {
 	for {
-		c := e.popIdle(maxIdleTime)
+		c := e.popIdle(maxIdleTime, id)
 		if c == nil {
 			return nil
 		}
@@ -260,17 +289,21 @@
 	}
 }
 
-func (e *Exchanger) popIdle(maxIdleTime time.Duration) *connection {
+func (e *Exchanger) popIdle(maxIdleTime time.Duration, id string) *connection {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.idle) == 0 {
+	last := len(e.idle) - 1
+	if last >= 0 && id != "" && e.idle[last].lastRequestID == id {
+		last--
+	}
+	if last < 0 {
 		return nil
 	}
-	c := e.idle[len(e.idle)-1]
-	if !c.isRecentlyConfirmed(e.clock(), maxIdleTime) {
+	c := e.idle[last]
+	if !c.isRecentlyConfirmed(e.clock(), maxIdleTime) || (id != "" && c.lastRequestID == id) {
 		return nil
 	}
-	e.idle = e.idle[:len(e.idle)-1]
+	e.idle = slices.Delete(e.idle, last, last+1)
 	e.counts.Reused++
 	return c
 }
--- a/poplarhook/modules/exchanger/exchanger_test.go
+++ b/poplarhook/modules/exchanger/exchanger_test.go
@@ -334,3 +334,28 @@
 	c.Assert(e.Counts().Reused, quicktest.Equals, uint64(1))
 	c.Assert(e.Counts().OpenNow, quicktest.Equals, 0)
 }
+
+// A late second copy of a refusal carries the id of its request. If the request is sent to the endpoint again, the copy
+// must not be taken for the answer, since the request may run this time.
+func TestRequestIsNotSentAgainOnTheConnectionThatCarriedIt(t *testing.T) {
+	c := quicktest.New(t)
+	const refused = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	fake := startRawEndpoint(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		if n == 1 {
+			return writeText(conn, refused)
+		}
+		return writeText(conn, okAnswer)
+	})
+	e := exchanger.New(fake.listener.Addr().String(),
+		exchanger.WithRequestID(func(header http.Header) string { return header.Get("X-Request-Id") }))
+	for i, test := range []struct {
+		id     string
+		dialed uint64
+	}{{"order-1", 1}, {"order-1", 2}, {"order-2", 2}, {"order-2", 2}, {"order-2", 3}, {"", 3}, {"", 3}} {
+		request := newRequest(t, http.MethodPost)
+		request.Header.Set("X-Request-Id", test.id)
+		_, err := exchange(t, e, request)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(e.Counts().Dialed, quicktest.Equals, test.dialed, quicktest.Commentf("send %d, id %q", i, test.id))
+	}
+}
--- a/poplarhook/modules/settings/check.go
+++ b/poplarhook/modules/settings/check.go
@@ -12,6 +12,8 @@
 
 const (
 	minControlBudget = 512
+	minAnswerHead    = 1 << 10
+	maxAnswerHead    = 1 << 20
 	maxControlBudget = 100 << 20
 	maxColdShards    = 1024
 )
@@ -99,6 +101,9 @@
 	if s.MaxBody < 0 {
 		return newInvalidError("max-body", s.MaxBody, "0 bytes or more")
 	}
+	if s.MaxAnswerHead < minAnswerHead || s.MaxAnswerHead > maxAnswerHead {
+		return newInvalidError("max-answer-head", s.MaxAnswerHead, fmt.Sprintf("%d to %d bytes", minAnswerHead, maxAnswerHead))
+	}
 	if s.MaxHeader < 1024 {
 		return newInvalidError("max-header", s.MaxHeader, "1024 bytes or more")
 	}
--- a/poplarhook/modules/settings/settings.go
+++ b/poplarhook/modules/settings/settings.go
@@ -39,6 +39,7 @@
 	HedgeShare        float64       `env:"HEDGE_SHARE" envDefault:"0.1" flag:"hedge-share" unit:"share" help:"most hedges per recent idempotent request"`
 	RetryShare        float64       `env:"RETRY_SHARE" envDefault:"0.1" flag:"retry-share" unit:"share" help:"most retries per recent idempotent request"`
 	MaxBody           int64         `env:"MAX_BODY" envDefault:"1048576" flag:"max-body" unit:"bytes" help:"largest body of a request"`
+	MaxAnswerHead     int           `env:"MAX_ANSWER_HEAD" envDefault:"65536" flag:"max-answer-head" unit:"bytes" help:"largest head of an endpoint's answer"`
 	MaxHeader         int           `env:"MAX_HEADER" envDefault:"32768" flag:"max-header" unit:"bytes" help:"largest head of a request"`
 	ReadTimeout       time.Duration `env:"READ_TIMEOUT" envDefault:"10s" flag:"read-timeout" unit:"duration" help:"longest time a caller may take to send a request"`
 	IdleTimeout       time.Duration `env:"IDLE_TIMEOUT" envDefault:"60s" flag:"idle-timeout" unit:"duration" help:"longest time a caller's connection may be idle"`
--- a/poplarhook/modules/settings/settings_test.go
+++ b/poplarhook/modules/settings/settings_test.go
@@ -32,6 +32,8 @@
 		{"log-level", func(s *settings.Settings) { s.LogLevel = "loud" }},
 		{"control-budget", func(s *settings.Settings) { s.ControlBudget = 1 }},
 		{"hedge-share", func(s *settings.Settings) { s.HedgeShare = 2 }},
+		{"max-answer-head", func(s *settings.Settings) { s.MaxAnswerHead = 1023 }},
+		{"max-answer-head", func(s *settings.Settings) { s.MaxAnswerHead = 1<<20 + 1 }},
 		{"max-requests", func(s *settings.Settings) { s.MaxRequests = 0 }},
 		{"lease-ttl", func(s *settings.Settings) { s.LeaseTTL = 0 }},
 		{"heartbeat-timeout", func(s *settings.Settings) { s.HeartbeatTimeout = s.HeartbeatInterval }},
--- a/poplarhook/services/dispatcher/attempt.go
+++ b/poplarhook/services/dispatcher/attempt.go
@@ -66,13 +66,14 @@
 		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
 		return nil, errors.Wrapf(refusal.ErrNotRun, "endpoint %s refused", b.Endpoint.ID)
 	}
-	return d.finishOrStream(response, b, seen, sentAt, start, whole), nil
+	return d.finishOrStream(ctx, j, response, b, seen, sentAt, start, whole), nil
 }
 
 // finishOrStream returns the answer of the endpoint, with its whole body or with a reader of the rest.
 //
-// The binding ends at once if the whole body was read, else when the answer is released.
-func (d *Dispatcher) finishOrStream(response *http.Response, b binding.Binding, seen report.Report, sentAt time.Time, start []byte, whole bool) *answer.Answer {
+// The binding ends at once if the whole body was read, else when the answer is released. An answer that breaks off
+// counts as a failure of the endpoint.
+func (d *Dispatcher) finishOrStream(ctx context.Context, j job.Job, response *http.Response, b binding.Binding, seen report.Report, sentAt time.Time, start []byte, whole bool) *answer.Answer {
 	a := answer.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -87,8 +88,30 @@
 		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
 		return &a
 	}
-	a.Rest = response.Body
-	return a.WithRelease(func() { d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil)) })
+	rest := &restReader{ReadCloser: response.Body}
+	a.Rest = rest
+	return a.WithRelease(func() {
+		if rest.err != nil {
+			_ = d.finishFailed(ctx, j, b, seen, sentAt, rest.err)
+			return
+		}
+		d.binder.Finish(b, seen.WithResult(d.clock().Sub(sentAt), nil))
+	})
+}
+
+// restReader reads the rest of a body and keeps the error with which it broke off.
+type restReader struct {
+	io.ReadCloser
+	err error
+}
+
+// Read reads from the body.
+func (r *restReader) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
 }
 
 // finishFailed ends the binding of a failed attempt.
--- a/poplarhook/services/dispatcher/dispatcher_test.go
+++ b/poplarhook/services/dispatcher/dispatcher_test.go
@@ -31,6 +31,7 @@
 	bound    int
 	finished int
 	full     bool
+	reports  []report.Report
 }
 
 func (f *fakeBinder) Bind(_ context.Context, req requirement.Requirement) (binding.Binding, error) {
@@ -47,10 +48,11 @@
 	return binding.Binding{Endpoint: host.Host{ID: id}}, nil
 }
 
-func (f *fakeBinder) Finish(binding.Binding, report.Report) {
+func (f *fakeBinder) Finish(_ binding.Binding, r report.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.finished++
+	f.reports = append(f.reports, r)
 }
 
 func (f *fakeBinder) countUnfinishedBindings() int {
@@ -190,6 +192,33 @@
 	}
 }
 
+// An answer that breaks off after its start was forwarded is a failure of its endpoint.
+func TestBrokenRestCountsAsFailureOfEndpoint(t *testing.T) {
+	for name, test := range map[string]struct {
+		rest   io.Reader
+		failed bool
+	}{
+		"complete":   {strings.NewReader("rest"), false},
+		"broken off": {errorReader{}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b := &fakeBinder{}
+			s := &fakeSender{script: map[string]func(context.Context) (*http.Response, error){"a": func(context.Context) (*http.Response, error) {
+				body := io.MultiReader(strings.NewReader(strings.Repeat("x", 64<<10)), test.rest)
+				return &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: brokenBody{body}}, nil
+			}}}
+			a, err := dispatcher.New(b, s, oneGroupPlanner{}).Dispatch(context.Background(), newJob(class.OnceOnly))
+			c.Assert(err, quicktest.IsNil)
+			_, err = io.Copy(io.Discard, a.Rest)
+			c.Assert(err != nil, quicktest.Equals, test.failed)
+			a.Close()
+			c.Assert(b.reports, quicktest.HasLen, 1)
+			c.Assert(b.reports[0].Err != nil, quicktest.Equals, test.failed)
+		})
+	}
+}
+
 func TestExhaustedRetryBudgetPreventsRetry(t *testing.T) {
 	c := quicktest.New(t)
 	s := &fakeSender{script: map[string]func(context.Context) (*http.Response, error){"a": failWith(exchanger.ErrBroken)}}
--- a/poplarhook/services/dispatcher/orca_reader.go
+++ b/poplarhook/services/dispatcher/orca_reader.go
@@ -13,11 +13,18 @@
 // orcaReader reads answers of endpoints that use Poplarhook's own headers.
 type orcaReader struct{}
 
-// Report reads the load report from the answer's headers.
-func (orcaReader) Report(_ job.Job, response *http.Response) report.Report {
-	return report.FromHeader(response.StatusCode, response.Header)
+// Report reads the load report from the answer's headers. An answer with the id of another request is mismatched;
+// endpoints need not send the id.
+func (orcaReader) Report(j job.Job, response *http.Response) report.Report {
+	r := report.FromHeader(response.StatusCode, response.Header)
+	id := response.Header.Get(headerRequestID)
+	r.Mismatched = id != "" && id != j.ID
+	return r
 }
 
+// headerRequestID is the header in which an endpoint may repeat the id of the request that it answers.
+const headerRequestID = "X-Request-Id"
+
 // Refuses reports whether the answer holds problem details which state that the request was not run.
 func (orcaReader) Refuses(response *http.Response, body []byte) bool {
 	return statesNotRun(response, body)
--- a/poplarhook/services/entry/entry.go
+++ b/poplarhook/services/entry/entry.go
@@ -22,6 +22,7 @@
 	"poplarhook.example/poplarhook/models/roster"
 	"poplarhook.example/poplarhook/models/scheduler"
 	"poplarhook.example/poplarhook/modules/certifier"
+	"poplarhook.example/poplarhook/modules/exchanger"
 	"poplarhook.example/poplarhook/modules/linker"
 	"poplarhook.example/poplarhook/modules/meter"
 	"poplarhook.example/poplarhook/modules/screener"
@@ -173,7 +174,8 @@
 	e.sender = sender.New(
 		sender.WithMaxIdleTimes(s.ProofAge, s.ReuseAge),
 		sender.WithEntryHosts(func() int { return e.assigner.Sharers(e.clock()) }),
-		sender.WithIdleClosedHook(e.onConnectionClosed))
+		sender.WithIdleClosedHook(e.onConnectionClosed),
+		sender.WithExchangerOptions(exchanger.WithMaxHead(s.MaxAnswerHead)))
 	e.coordinator = coordinator.New(s.HostID, s.Region, e.links, e.locator, e.assigner, e.sender,
 		coordinator.WithOwnerTimeout(s.OwnerTimeout),
 		coordinator.WithOrphanTimeout(lender.ColdValidity+s.ColdDeadline),
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -122,6 +122,8 @@
 	// the shortest time after which an endpoint may close an idle connection. A probe, sent right before a request,
 	// leaves a connection with a recent answer.
 	onceOnlyMaxIdleTime = 250 * time.Millisecond
+	// maxIdleConnections is how many idle connections to one endpoint are kept; each one takes memory at both ends.
+	maxIdleConnections = 4
 	// maxIdleTime is how long a connection may be idle before reuse unless the endpoint states a shorter idle time; the
 	// known endpoints close idle connections after ten seconds.
 	maxIdleTime = 8 * time.Second
@@ -139,7 +141,9 @@
 		sender.WithEncoder(g.platform.Dialect),
 		sender.WithMaxIdleTimes(onceOnlyMaxIdleTime, maxIdleTime),
 		sender.WithEntryHosts(g.connectionSharers),
-		sender.WithExchangerOptions(exchanger.WithCloseDelimited(), exchanger.WithTrailingBytes(), exchanger.WithDialTimeout(dialTimeout)))
+		sender.WithExchangerOptions(exchanger.WithCloseDelimited(), exchanger.WithTrailingBytes(),
+			exchanger.WithDialTimeout(dialTimeout), exchanger.WithMaxIdle(maxIdleConnections),
+			exchanger.WithMaxHead(d.AnswerHeadLimit())))
 	g.selector = selector.New(context.WithoutCancel(ctx), d.HostID, d.Region, g.locator, healthProber{g},
 		selector.WithClock(g.clock),
 		selector.WithLogger(g.logger),
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -131,6 +131,9 @@
 		"answers are followed by an extra answer": {imitator.DuplicateAnswer, 200, 200, 1, 1},
 		"endpoints refuse requests":               {imitator.RefuseNotRun, 503, 503, 0, 0},
 		"endpoints answer with errors":            {imitator.InternalError, 500, 500, 1, 3},
+		"refusals belong to no request":           {imitator.StrayRefusal, 502, 502, 1, 3},
+		"heads of answers never end":              {imitator.EndlessHead, 502, 502, 1, 3},
+		"answers to health checks never end":      {imitator.EndlessHealth, 503, 503, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -152,6 +155,24 @@
 	}
 }
 
+func TestEndlessBodyNeverLooksComplete(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newConfiguredTestEnv(t, 2)
+	w.setFault(time.Millisecond, imitator.EndlessBody)
+	for _, path := range []string{"/lookup/1", "/order/1"} {
+		startedAt := time.Now()
+		got := w.sendRequest(http.MethodGet, path, "endless"+path[:3], "")
+		c.Check(got.err, qt.IsNotNil, qt.Commentf("status %d, %d bytes", got.status, len(got.body)))
+		c.Check(time.Since(startedAt) < 5*time.Second, qt.IsTrue)
+	}
+	// Both endpoints failed and do not fail the next requests for long.
+	w.setFault(time.Millisecond, imitator.NoFault)
+	w.waitUntil("requests to be answered", func() bool {
+		return w.sendRequest(http.MethodGet, "/lookup/1", "after", "").status == http.StatusOK
+	})
+}
+
 func TestExtraAnswerIsNotForwarded(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/poplarhook/services/gateway/platform.go
+++ b/poplarhook/services/gateway/platform.go
@@ -81,8 +81,26 @@
 		return report.Report{Err: err}
 	}
 	r := g.platform.Dialect.Report(j, response)
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes))
+	r.Err = readHealthBody(response.Body)
 	_ = response.Body.Close()
-	r.Err = err
+	if r.Err == nil && r.Mismatched {
+		r.Err = errStrayHealthAnswer
+	}
 	return r
 }
+
+var (
+	// errLargeHealthAnswer means that the body of an answer to a health check has more than maxHealthBytes.
+	errLargeHealthAnswer = errors.New("answer to the health check is too large")
+	// errStrayHealthAnswer means that the answer to a health check belongs to a request.
+	errStrayHealthAnswer = errors.New("answer to the health check belongs to a request")
+)
+
+// readHealthBody reads the whole body. It fails with errLargeHealthAnswer after maxHealthBytes.
+func readHealthBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxHealthBytes+1))
+	if err == nil && n > maxHealthBytes {
+		return errLargeHealthAnswer
+	}
+	return err
+}
--- a/poplarhook/services/inspector/inspector.go
+++ b/poplarhook/services/inspector/inspector.go
@@ -46,7 +46,7 @@
 
 // New returns an Inspector with the given options.
 func New(options ...Option) *Inspector {
-	i := &Inspector{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, logger: zap.NewNop()}
+	i := &Inspector{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseBytes}}, logger: zap.NewNop()}
 	for _, option := range options {
 		option(i)
 	}
--- a/poplarhook/services/sender/sender.go
+++ b/poplarhook/services/sender/sender.go
@@ -14,6 +14,7 @@
 	"poplarhook.example/poplarhook/models/binding"
 	"poplarhook.example/poplarhook/models/job"
 	"poplarhook.example/poplarhook/modules/exchanger"
+	"poplarhook.example/poplarhook/modules/reserver"
 )
 
 // Headers that carry a request's id, time left and class to the endpoint; the time left is in gRPC's format.
@@ -31,6 +32,7 @@
 	entryHosts          func() int
 	idleClosed          func(address string)
 	encoder             encoder
+	headReserver        *reserver.Reserver
 	options             []exchanger.Option
 
 	mu         sync.RWMutex
@@ -63,6 +65,7 @@
 
 // encoder adds the headers that an endpoint reads to a message that already holds the caller's headers.
 type encoder interface {
+	RequestID(header http.Header) string
 	Encode(message *http.Request, endpoint host.Host, j job.Job, left time.Duration)
 }
 
@@ -81,6 +84,8 @@
 	defaultOtherMaxIdleTime    = 10 * time.Second
 	defaultConnections         = 64
 	minConnections             = 2
+	// largeHeadBytes is the memory for large heads of answers that are read at the same time, in bytes.
+	largeHeadBytes = 4 << 20
 )
 
 // New returns a Sender without connections.
@@ -92,6 +97,7 @@
 		entryHosts:          func() int { return 1 },
 		idleClosed:          func(string) {},
 		encoder:             defaultEncoder{},
+		headReserver:        reserver.New(largeHeadBytes),
 		exchangers:          make(map[string]*exchanger.Exchanger),
 	}
 	for _, option := range options {
@@ -170,7 +176,10 @@
 	options := append([]exchanger.Option{
 		exchanger.WithClock(s.clock),
 		exchanger.WithMaxOpen(s.maxConnections(endpoint)),
+		exchanger.WithMaxIdle(s.maxConnections(endpoint)),
 		exchanger.WithIdleClosedHook(s.idleClosed),
+		exchanger.WithHeadReserver(s.headReserver),
+		exchanger.WithRequestID(s.encoder.RequestID),
 	}, s.options...)
 	e = exchanger.New(endpoint.Address, options...)
 	s.exchangers[endpoint.Address] = e
@@ -211,6 +220,11 @@
 // defaultEncoder sets Poplarhook's own headers.
 type defaultEncoder struct{}
 
+// RequestID returns the request's id.
+func (defaultEncoder) RequestID(header http.Header) string {
+	return header.Get(HeaderRequestID)
+}
+
 // Encode sets the headers with the request's id, its class and the time left until its deadline.
 func (defaultEncoder) Encode(message *http.Request, _ host.Host, j job.Job, left time.Duration) {
 	message.Header.Set(HeaderRequestID, j.ID)
--- a/poplarhook/services/subscriber/subscriber.go
+++ b/poplarhook/services/subscriber/subscriber.go
@@ -24,8 +24,13 @@
 	ErrSilent = errors.New("stream broke off or timed out")
 )
 
-// dialTimeout limits the time to connect to a host of the own region.
-const dialTimeout = 250 * time.Millisecond
+const (
+	// dialTimeout limits the time to connect to a host of the own region.
+	dialTimeout = 250 * time.Millisecond
+	// maxHeadBytes limits the head of a response, and maxFrameBytes one frame of a stream.
+	maxHeadBytes  = 64 << 10
+	maxFrameBytes = 16 << 20
+)
 
 const (
 	// StreamPath is the path of the stream of views.
@@ -44,8 +49,9 @@
 func New(silenceTimeout time.Duration) *Subscriber {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Subscriber{silenceTimeout: silenceTimeout, http: &http.Client{Transport: &http.Transport{
-		DialContext:       dialer.DialContext,
-		DisableKeepAlives: true,
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
@@ -84,10 +90,14 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Wrapf(ErrNotServing, "%s responds with status %d", url, response.StatusCode)
 	}
-	decoder := json.NewDecoder(bufio.NewReader(response.Body))
+	limited := &io.LimitedReader{R: response.Body}
+	decoder := json.NewDecoder(bufio.NewReader(limited))
 	for {
+		limited.N = maxFrameBytes
 		var f frame.Frame
-		if err := decoder.Decode(&f); errors.Is(err, io.EOF) {
+		if err := decoder.Decode(&f); limited.N <= 0 {
+			return errors.Wrapf(ErrSilent, "%s: frame has more than %d bytes", url, maxFrameBytes)
+		} else if errors.Is(err, io.EOF) {
 			return errors.Wrapf(errBodyEnded, "%s", url)
 		} else if err != nil {
 			return errors.Wrapf(ErrSilent, "%s: %v", url, err)
--- a/standin/responder/answer.go
+++ b/standin/responder/answer.go
@@ -48,6 +48,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	settings := r.setHeaders(w)
+	w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	switch {
