Serve the routes that can be read when an entry of the configuration cannot

Cause: the decoder rejected a configuration as a whole when one route had a kind that it did not know. A configuration without a readable version counted as removed. Change: the decoder reads each entry by itself. Classes of entries that cannot be read have a defect and are refused at once as not run, with a reason that names entry, field, value and what is allowed; the same for services, splits and the limit on bodies. A configuration that cannot be read at all leaves the one in force. Each host logs each defect and counts it, and the dump and poplarctl status show it. The kind download is repeatable and marks large answers.

--- a/lib/class/class.go
+++ b/lib/class/class.go
@@ -33,6 +33,10 @@
 	Urgency         string   `json:"urgency" yaml:"urgency"`
 	// MaxSends is how many endpoints one request may be sent to at most; zero means the dispatcher's own limit.
 	MaxSends int `json:"max_sends,omitempty" yaml:"-"`
+	// LargeAnswers says that the answers of the class are large, so that they cost more than requests to send.
+	LargeAnswers bool `json:"large_answers,omitempty" yaml:"-"`
+	// Defect says why the class cannot be served: its entry in the configuration cannot be read. It is empty otherwise.
+	Defect string `json:"defect,omitempty" yaml:"-"`
 	// Parts are the services among which the requests of the class are split; empty if Service gets all of them.
 	Parts []Part `json:"parts,omitempty" yaml:"-"`
 }
@@ -51,6 +55,24 @@
 	return c
 }
 
+// WithDefect returns a copy that cannot be served for the given reason.
+func (c Class) WithDefect(reason string) Class {
+	c.Defect = reason
+	return c
+}
+
+// Services returns the names of all services to which requests of the class may go.
+func (c Class) Services() []string {
+	names := make([]string, 0, len(c.Parts)+1)
+	if c.Service != "" {
+		names = append(names, c.Service)
+	}
+	for _, p := range c.Parts {
+		names = append(names, p.Service)
+	}
+	return names
+}
+
 // IsOnceOnly reports whether a request of the class may run at most once.
 func (c Class) IsOnceOnly() bool {
 	return c.Execution == OnceOnly
--- /dev/null
+++ b/lib/defect/doc.go
@@ -0,0 +1,2 @@
+// Package defect describes an entry of a configuration that cannot be read.
+package defect
--- a/lib/snapshot/snapshot.go
+++ b/lib/snapshot/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"poplarhook.example/lib/defect"
 	"poplarhook.example/lib/document"
 	"poplarhook.example/lib/limit"
 	"poplarhook.example/lib/service"
@@ -17,6 +18,14 @@
 	// Services and Limit are empty unless the platform declares them.
 	Services []service.Service `json:"services,omitempty"`
 	Limit    limit.Limit       `json:"limit,omitzero"`
+	// Defects are the entries that cannot be read. A snapshot that has only defects and no revision says that the
+	// newest configuration cannot be read at all.
+	Defects []defect.Defect `json:"defects,omitempty"`
+}
+
+// IsUnreadable reports whether the newest configuration cannot be read at all.
+func (s Snapshot) IsUnreadable() bool {
+	return s.Revision == 0 && len(s.Defects) > 0
 }
 
 // Service returns the declaration of the service and whether there is one.
--- a/lib/status/status.go
+++ b/lib/status/status.go
@@ -1,5 +1,7 @@
 package status
 
+import "poplarhook.example/lib/defect"
+
 // States of entry hosts and of endpoints.
 const (
 	HostLive    = "live"
@@ -30,6 +32,8 @@
 	AdminAddress     string `json:"admin_address"`
 	Revision         int64  `json:"revision"`
 	State            string `json:"state"`
+	// Defects are the entries of the configuration that the host cannot read.
+	Defects []defect.Defect `json:"defects,omitempty"`
 }
 
 // Endpoint is an endpoint with its state and the reason for that state.
--- a/poplarctl/cmd/cmd_test.go
+++ b/poplarctl/cmd/cmd_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"poplarhook.example/lib/defect"
 	"poplarhook.example/lib/document"
 	"poplarhook.example/lib/index"
 	"poplarhook.example/lib/parser"
@@ -59,7 +60,9 @@
 	case "/v1/status":
 		f.answer(w, status.Status{
 			HostID: "entry-1", Revision: 5,
-			Hosts:     []status.Host{{ID: "entry-1", State: status.HostLive, Revision: 5}},
+			Hosts: []status.Host{{ID: "entry-1", State: status.HostLive, Revision: 5, Defects: []defect.Defect{
+				defect.New(defect.KindClass, "orders", "kind", "odd", "safe or unsafe"),
+			}}},
 			Endpoints: []status.Endpoint{{ID: "stock-1", State: status.EndpointCold, Reason: "restarted"}, {ID: "stock-2", State: status.EndpointWarm}},
 		})
 	case "/v1/zones":
@@ -136,7 +139,7 @@
 		{"config diff --from 4 --to 3", `(?s)1 differences from revision 4 to 3\n.*lookups +deadline_ms +500 +400\n`},
 		{"config history", `(?s)REVISION.*\n4 +0001-01-01T00:00:00Z +shop +change-0004 +document of shop\n`},
 		{"zone list", `(?s)ZONE .*\nfuerth +franken +out\n`},
-		{"status", `(?s)entry-1 runs revision 5; endpoints: 1 warm, 1 cold, .*\nentry-1 +- +- +live +5 +-\nENDPOINT.*\nstock-1 +- +- +- +cold +restarted\n`},
+		{"status", `(?s)entry-1 runs revision 5; endpoints: 1 warm, 1 cold, .*\nentry-1 +- +- +live +5 +-\nUNREADABLE_ENTRY.*\nclass orders +kind +odd +safe or unsafe +entry-1\nENDPOINT.*\nstock-1 +- +- +- +cold +restarted\n`},
 		{"dump", "{\n  \"open_links\": 3\n}\n"},
 		{"zone list --json", `(?s)\[\n  \{\n    "name": "fuerth",.*`},
 	} {
--- a/poplarctl/cmd/status.go
+++ b/poplarctl/cmd/status.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/integrii/flaggy"
 
+	"poplarhook.example/lib/defect"
 	"poplarhook.example/lib/status"
 )
 
@@ -23,6 +25,11 @@
 		if err := s.newPrinter().Value(current, formatStatusLine(current), newHostTable(current.Hosts)...); err != nil || s.json {
 			return err
 		}
+		if defects := newDefectTable(current.Hosts); len(defects) > 1 {
+			if err := s.newPrinter().Value(current, "", defects...); err != nil {
+				return err
+			}
+		}
 		return s.newPrinter().Value(current, "", newEndpointTable(current.Endpoints, all)...)
 	}}
 }
@@ -47,6 +54,25 @@
 	return rows
 }
 
+// newDefectTable returns the entries of the configuration that hosts cannot read, each with the hosts that cannot.
+func newDefectTable(hosts []status.Host) [][]string {
+	var defects []defect.Defect
+	hostsByDefect := make(map[defect.Defect][]string)
+	for _, h := range hosts {
+		for _, d := range h.Defects {
+			if len(hostsByDefect[d]) == 0 {
+				defects = append(defects, d)
+			}
+			hostsByDefect[d] = append(hostsByDefect[d], h.ID)
+		}
+	}
+	rows := [][]string{{"UNREADABLE_ENTRY", "FIELD", "VALUE", "ALLOWED", "ENTRY_HOSTS"}}
+	for _, d := range defects {
+		rows = append(rows, []string{strings.TrimSpace(d.Kind + " " + d.Entry), d.Field, d.Value, d.Allowed, strings.Join(hostsByDefect[d], ",")})
+	}
+	return rows
+}
+
 func newEndpointTable(endpoints []status.Endpoint, all bool) [][]string {
 	rows := [][]string{{"ENDPOINT", "SERVICE", "REGION", "ZONE", "STATE", "REASON"}}
 	for _, e := range endpoints {
--- a/poplarhook/models/viewstatus/status.go
+++ b/poplarhook/models/viewstatus/status.go
@@ -1,6 +1,10 @@
 package viewstatus
 
-import "time"
+import (
+	"time"
+
+	"poplarhook.example/lib/defect"
+)
 
 // Status is the known state of one entry host at one moment. It contains no request content and no secrets.
 type Status struct {
@@ -13,6 +17,8 @@
 	Stopping        bool   `json:"stopping"`
 	Version         int64  `json:"configuration_version"`
 	ChangeID        string `json:"configuration_change_id"`
+	// Defects are the entries of the configuration that cannot be read.
+	Defects []defect.Defect `json:"configuration_defects,omitempty"`
 	// StoreRevision is the store revision of the newest list or change of endpoints that the host received.
 	StoreRevision int64      `json:"store_revision"`
 	ZonesOut      []string   `json:"zones_out"`
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -42,6 +42,9 @@
 	classifier func() classifier
 	// awaitConfiguration waits for a limited time for the first configuration.
 	awaitConfiguration func(ctx context.Context)
+	// unconfiguredReason says why there is no configuration, and bodyDefect why the limit on bodies cannot be read.
+	unconfiguredReason func() string
+	bodyDefect         func() string
 	dispatcher         dispatcher
 	maxBody            func() int64
 	// slots holds one value for each request in progress; its capacity is the maximum number of them.
@@ -112,11 +115,25 @@
 	return func(c *Caller) { c.awaitConfiguration = wait }
 }
 
+// WithUnconfiguredReason sets the source of the reason with which requests are refused while there is no configuration.
+func WithUnconfiguredReason(reason func() string) Option {
+	return func(c *Caller) { c.unconfiguredReason = reason }
+}
+
+// WithBodyDefect sets the function that says why the limit on bodies cannot be read, empty if it can. Meanwhile requests
+// with a body are refused.
+func WithBodyDefect(reason func() string) Option {
+	return func(c *Caller) { c.bodyDefect = reason }
+}
+
 // WithMaxRequests sets the maximum number of requests in progress at the same time.
 func WithMaxRequests(n int) Option {
 	return func(c *Caller) { c.slots = make(chan struct{}, n) }
 }
 
+// defectRetryAfter is the retry time for requests that wait for operators to correct the configuration.
+const defectRetryAfter = time.Second
+
 // unconfiguredRetryAfter is the retry time sent to callers of a host that has just started and has no configuration.
 // Some hosts take 100 to 250 ms to receive one.
 const unconfiguredRetryAfter = 200 * time.Millisecond
@@ -138,6 +155,8 @@
 		chooseService:      func(c class.Class) class.Class { return c },
 		logger:             zap.NewNop(),
 		awaitConfiguration: func(context.Context) {},
+		unconfiguredReason: func() string { return "no configuration is in force yet" },
+		bodyDefect:         func() string { return "" },
 
 		isAmbiguous: func(context.Context) bool { return false },
 	}
@@ -202,12 +221,19 @@
 		current = c.classifier()
 	}
 	if current == nil {
-		return j, refusal.NotRun(http.StatusServiceUnavailable, "no configuration is in force yet").WithRetryAfter(unconfiguredRetryAfter)
+		return j, refusal.NotRun(http.StatusServiceUnavailable, c.unconfiguredReason()).WithRetryAfter(unconfiguredRetryAfter)
 	}
 	found, team, err := current.Classify(r.Method, r.Host, r.URL.EscapedPath())
 	if err != nil {
 		return j, refusal.NotRun(http.StatusNotFound, err.Error())
 	}
+	if found.Defect != "" {
+		j.Class = found
+		return j, refusal.NotRun(http.StatusServiceUnavailable, found.Defect).WithRetryAfter(defectRetryAfter)
+	}
+	if reason := c.bodyDefect(); reason != "" && r.ContentLength != 0 {
+		return j, refusal.NotRun(http.StatusServiceUnavailable, reason).WithRetryAfter(defectRetryAfter)
+	}
 	j.Class, j.Team = c.chooseService(found), team
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.maxBody()))
 	if err != nil {
--- a/poplarhook/services/gateway/dump.go
+++ b/poplarhook/services/gateway/dump.go
@@ -28,6 +28,7 @@
 		Stopping:         g.draining.Load(),
 		Version:          g.configuration.Revision,
 		ChangeID:         g.configuration.ChangeID,
+		Defects:          g.currentDefects(),
 		StoreRevision:    g.endpoints.Revision,
 		ZonesOut:         slices.Clone(g.zonesOut),
 		Followers:        g.supplier.Broadcaster().Readers(),
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/budgeter"
+	"poplarhook.example/lib/defect"
 	"poplarhook.example/lib/deployment"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/ranker"
@@ -77,6 +78,9 @@
 	usable        map[string]host.Host
 	configuration snapshot.Snapshot
 	zonesOut      []string
+	// unreadable are the defects of the newest configuration if it cannot be read at all, so that an older one or none
+	// is in force.
+	unreadable []defect.Defect
 }
 
 // Listeners are the listeners on which a gateway serves.
@@ -169,6 +173,8 @@
 		caller.WithBodyLimit(g.maxBodySize),
 		caller.WithAmbiguityCheck(screener.IsAmbiguous),
 		caller.WithConfigurationWait(g.awaitConfiguration),
+		caller.WithUnconfiguredReason(g.unconfiguredReason),
+		caller.WithBodyDefect(g.bodyDefect),
 		caller.WithCounter(g.meter.CountRequest))
 }
 
@@ -181,6 +187,22 @@
 	return min(s.Limit.BodyBytes, maxBodyBytes)
 }
 
+// bodyDefect says why the limit on the bodies of requests cannot be read, empty if it can.
+func (g *Gateway) bodyDefect() string {
+	s, _ := g.locator.Snapshot()
+	return s.Limit.Defect
+}
+
+// unconfiguredReason says why no configuration is in force.
+func (g *Gateway) unconfiguredReason() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.unreadable) > 0 {
+		return "no configuration is in force, and the newest one cannot be read: " + g.unreadable[0].String()
+	}
+	return "no configuration is in force yet"
+}
+
 const (
 	// expiryGracePeriod is how long expired entries stay in use after the store has become available again. It is the
 	// time within which endpoints renew their entries, as documented by the platform, less a reserve.
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -115,6 +115,49 @@
 	c.Assert(w.runsOfRequest("large"), qt.HasLen, 0)
 }
 
+// A route that cannot be read is refused as not run, with a reason that names it, and the others are served. A
+// configuration that cannot be read at all leaves the one in force.
+func TestUnreadableEntriesAreRefusedAndOthersServed(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newConfiguredTestEnv(t, 1)
+	rows := [][]any{
+		{"lookup", "shop.example", "/lookup/", "safe", 1000, 300, 0, "stock", 2, nil, nil},
+		{"order", "shop.example", "/order/", "odd", 1000, 300, 0, "stock", 2, nil, nil},
+	}
+	columns := []string{"name", "host", "path_prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "service", "max_attempts", "allowed_regions", "traffic_split"}
+	w.store.Put("config", "main", map[string]any{
+		"version": "r9", "routes": map[string]any{"columns": columns, "rows": rows}, "limits": map[string]any{"max_body_bytes": "big"},
+	})
+	w.waitUntil("the version to be in force", func() bool { return w.getDump().Version == 9 })
+	c.Assert(w.getDump().Defects, qt.HasLen, 2)
+	c.Assert(w.sendRequest(http.MethodGet, "/lookup/1", "read", "").status, qt.Equals, 200)
+	order := w.sendRequest(http.MethodGet, "/order/1", "order", "")
+	c.Assert(order.status, qt.Equals, 503)
+	c.Assert(order.body, qt.Contains, "class order: kind is")
+	c.Assert(order.body, qt.Contains, "allowed is safe, unsafe or download")
+	c.Assert(order.body, qt.Contains, `"outcome":"not_run"`)
+	c.Assert(order.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	withBody := w.sendRequest(http.MethodPost, "/lookup/1", "body", "text")
+	c.Assert(withBody.status, qt.Equals, 503)
+	c.Assert(withBody.body, qt.Contains, "max_body_bytes")
+
+	w.store.Put("config", "main", "no configuration")
+	w.waitUntil("the defect to be known", func() bool { return len(w.getDump().Defects) == 3 })
+	c.Assert(w.getDump().Version, qt.Equals, int64(9))
+	c.Assert(w.sendRequest(http.MethodGet, "/lookup/1", "still", "").status, qt.Equals, 200)
+	c.Assert(w.runsOfRequest("order"), qt.HasLen, 0)
+}
+
+func TestHostNamesTheConfigurationThatItCannotRead(t *testing.T) {
+	t.Parallel()
+	w := newTestEnv(t, 1, func(s *imitator.Store) { s.Put("config", "main", map[string]any{"version": "nine"}) })
+	w.waitUntil("the defect to be known", func() bool { return len(w.getDump().Defects) == 1 })
+	got := w.sendRequest(http.MethodGet, "/lookup/1", "r1", "")
+	qt.Assert(t, got.status, qt.Equals, 503)
+	qt.Assert(t, got.body, qt.Contains, "the newest one cannot be read: configuration: version is")
+}
+
 func TestEndpointFaults(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
--- a/poplarhook/services/gateway/inspect.go
+++ b/poplarhook/services/gateway/inspect.go
@@ -40,6 +40,7 @@
 		AdminAddress:     d.AdminAddress(),
 		Revision:         g.configuration.Revision,
 		State:            status.HostLive,
+		Defects:          g.currentDefects(),
 	}
 	if g.draining.Load() {
 		h.State = status.HostLeaving
--- a/poplarhook/services/gateway/views.go
+++ b/poplarhook/services/gateway/views.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"poplarhook.example/lib/defect"
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/ranker"
 	"poplarhook.example/lib/snapshot"
@@ -36,15 +37,22 @@
 	g.logger.Info("entry hosts known", zap.Int("hosts", hostCount), zap.Int("in_region", len(ids)), zap.Int64("store_revision", v.Revision))
 }
 
-// setConfiguration applies a configuration that is newer than the current one, and ignores any other.
+// setConfiguration applies a configuration that is newer than the current one, and ignores any other. One that cannot be
+// read at all leaves the current one in force.
 func (g *Gateway) setConfiguration(v view.View[snapshot.Snapshot]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range v.Items {
+		if s.IsUnreadable() {
+			g.setUnreadable(s.Defects, v.Revision)
+			continue
+		}
+		g.unreadable = nil
 		if s.Revision <= g.configuration.Revision {
 			continue
 		}
 		g.configuration = s
+		g.logDefects(s.Defects, v.Revision)
 		g.archive.Add(g.clock(), s)
 		g.applyConfiguration()
 		g.applyEndpoints()
@@ -53,6 +61,29 @@
 	}
 }
 
+// setUnreadable keeps why the newest configuration cannot be read. The caller holds the lock.
+func (g *Gateway) setUnreadable(defects []defect.Defect, storeRevision int64) {
+	if !slices.Equal(g.unreadable, defects) {
+		g.unreadable = defects
+		g.logDefects(defects, storeRevision)
+	}
+}
+
+// logDefects logs and counts the entries of a configuration that cannot be read.
+func (g *Gateway) logDefects(defects []defect.Defect, storeRevision int64) {
+	for _, d := range defects {
+		g.meter.Count("configuration_defect")
+		g.logger.Error("entry of the configuration cannot be read", zap.String("kind", d.Kind), zap.String("entry", d.Entry),
+			zap.String("field", d.Field), zap.String("value", d.Value), zap.String("allowed", d.Allowed), zap.Int64("store_revision", storeRevision))
+	}
+}
+
+// currentDefects returns the entries that cannot be read, of the configuration in force and of a newer one that cannot
+// be read at all. The caller holds the lock.
+func (g *Gateway) currentDefects() []defect.Defect {
+	return slices.Concat(g.unreadable, g.configuration.Defects)
+}
+
 // setEndpoints replaces the list of endpoints.
 func (g *Gateway) setEndpoints(v view.View[host.Host]) {
 	g.mu.Lock()
