--- a/lib/problem/problem.go
+++ b/lib/problem/problem.go
@@ -20,6 +20,7 @@
 	CodeUnauthorized   = "unauthorized"
 	CodeForbidden      = "forbidden"
 	CodeNotFound       = "not_found"
+	CodeNoMethod       = "method_not_allowed"
 	CodeTooLarge       = "too_large"
 	CodeInternal       = "internal"
 )
--- a/poplarhook/cmd/root.go
+++ b/poplarhook/cmd/root.go
@@ -8,7 +8,7 @@
 )
 
 // ErrNoCommand is the error of a command line without a subcommand.
-var ErrNoCommand = errors.New("a subcommand is required: serve, settings or version")
+var ErrNoCommand = errors.New("a subcommand is required: serve, gateway, settings or version")
 
 // Version is the version of the program.
 const Version = "0.1.0"
--- a/poplarhook/routers/administrator/administrator.go
+++ b/poplarhook/routers/administrator/administrator.go
@@ -153,13 +153,13 @@
 	router.HandleFunc("/v1/zones-out/{zone}", a.operatorsOnly(a.bringZoneBack)).Methods(http.MethodDelete)
 	router.HandleFunc("/v1/zones", a.anyTeam(a.listZones)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/status", a.anyTeam(a.reportStatus)).Methods(http.MethodGet)
-	router.NotFoundHandler = refuseWith(http.StatusNotFound, "no such resource")
-	router.MethodNotAllowedHandler = refuseWith(http.StatusMethodNotAllowed, "the resource does not have this method")
+	router.NotFoundHandler = refuseWith(http.StatusNotFound, problem.CodeNotFound, "no such resource")
+	router.MethodNotAllowedHandler = refuseWith(http.StatusMethodNotAllowed, problem.CodeNoMethod, "the resource does not have this method")
 	return router
 }
 
-func refuseWith(code int, detail string) http.Handler {
+func refuseWith(status int, code, detail string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		problem.New(code, problem.CodeNotFound, detail).Write(w)
+		problem.New(status, code, detail).Write(w)
 	})
 }
--- a/poplarhook/routers/caller/caller.go
+++ b/poplarhook/routers/caller/caller.go
@@ -60,6 +60,8 @@
 
 // dialect reads and writes the headers with request ids, deadlines and retry times.
 type dialect interface {
+	// RequestIDHeader returns the name of the header with the request id.
+	RequestIDHeader() string
 	RequestID(header http.Header) string
 	Deadline(header http.Header) (time.Duration, bool)
 	SetRequestID(header http.Header, id string)
@@ -255,8 +257,9 @@
 	if r.Header.Get("Upgrade") != "" {
 		return refusal.NotRun(http.StatusBadRequest, "Upgrade is not supported")
 	}
-	if len(r.Header.Values(HeaderRequestID)) > 1 || len(r.Header.Get(HeaderRequestID)) > maxRequestIDBytes {
-		return refusal.NotRun(http.StatusBadRequest, "X-Request-Id must be given once, with at most 128 bytes")
+	name := c.dialect.RequestIDHeader()
+	if len(r.Header.Values(name)) > 1 || len(r.Header.Get(name)) > maxRequestIDBytes {
+		return refusal.NotRun(http.StatusBadRequest, name+" must be given once, with at most "+strconv.Itoa(maxRequestIDBytes)+" bytes")
 	}
 	if limit := c.maxBody(); r.ContentLength > limit {
 		return refusal.NotRun(http.StatusRequestEntityTooLarge, "body is over "+strconv.FormatInt(limit, 10)+" bytes")
--- a/poplarhook/routers/caller/dialect.go
+++ b/poplarhook/routers/caller/dialect.go
@@ -10,6 +10,11 @@
 // seconds.
 type ownDialect struct{}
 
+// RequestIDHeader returns the name of the header with the request id.
+func (ownDialect) RequestIDHeader() string {
+	return HeaderRequestID
+}
+
 // RequestID returns the request id that the caller sent, or an empty string if there is none.
 func (ownDialect) RequestID(header http.Header) string {
 	return header.Get(HeaderRequestID)
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -216,6 +216,34 @@
 	})
 }
 
+// The id of a request is checked in the header in which the platform's callers send it.
+func TestAmbiguousRequestIDsAreRefused(t *testing.T) {
+	t.Parallel()
+	w := newConfiguredTestEnv(t, 1)
+	for name, ids := range map[string]string{
+		"two ids": "Request-Id: first\r\nRequest-Id: second\r\n",
+		"long id": "Request-Id: " + strings.Repeat("x", 129) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			conn, err := net.Dial("tcp", w.address)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+			_, err = io.WriteString(conn, "GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n"+ids+"\r\n")
+			c.Assert(err, qt.IsNil)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			defer response.Body.Close()
+			text, err := io.ReadAll(response.Body)
+			c.Assert(err, qt.IsNil)
+			c.Assert(response.StatusCode, qt.Equals, http.StatusBadRequest)
+			c.Assert(string(text), qt.Contains, "Request-Id must be given once, with at most 128 bytes")
+		})
+	}
+	qt.Assert(t, w.runsOfRequest("first"), qt.HasLen, 0)
+}
+
 func TestExtraAnswerIsNotForwarded(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
--- a/poplarhook/services/gateway/platform.go
+++ b/poplarhook/services/gateway/platform.go
@@ -21,6 +21,7 @@
 
 // Dialect reads and writes the headers of the platform's protocol.
 type Dialect interface {
+	RequestIDHeader() string
 	RequestID(header http.Header) string
 	Deadline(header http.Header) (time.Duration, bool)
 	SetRequestID(header http.Header, id string)
--- a/poplarhook/services/relayer/relayer.go
+++ b/poplarhook/services/relayer/relayer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -165,10 +164,10 @@
 	if reply.GetRevision() <= r.adopter.Revision() {
 		return
 	}
-	var s snapshot.Snapshot
-	if err := json.Unmarshal(reply.GetSnapshotJson(), &s); err != nil || s.Revision != reply.GetRevision() {
+	s, err := parseReply(reply)
+	if err != nil {
 		r.count("snapshot_refused")
-		r.logger.Warn("configuration from a peer is invalid", zap.String("host_id", from), zap.String("error", fmt.Sprint(err)))
+		r.logger.Warn("configuration from a peer is invalid", zap.String("host_id", from), zap.String("error", err.Error()))
 		return
 	}
 	now := r.clock()
@@ -177,6 +176,18 @@
 	}
 }
 
+// parseReply returns the configuration in a peer's reply, which must have the revision that the reply states.
+func parseReply(reply *wire.SnapshotReply) (snapshot.Snapshot, error) {
+	var s snapshot.Snapshot
+	if err := json.Unmarshal(reply.GetSnapshotJson(), &s); err != nil {
+		return s, errors.Wrap(err, "decode configuration")
+	}
+	if s.Revision != reply.GetRevision() {
+		return s, errors.Errorf("configuration has revision %d, the reply states %d", s.Revision, reply.GetRevision())
+	}
+	return s, nil
+}
+
 // adoptSnapshot adopts the configuration if it is newer, and calls the listeners. A host without a configuration does
 // not adopt one whose revision is lower than the highest that it knows of, regardless of who sent it. After its first
 // configuration a host may also go through intermediate revisions.
