Give each probe of serve an id of its own

Cause: read in the diff: all probes had the id probe, and since a connection no longer carries two requests of the same id in a row, every probe of a silent endpoint opened a connection. Result: the new test fails before (one id for all probes) and passes after.

--- a/poplarhook/services/prober/prober.go
+++ b/poplarhook/services/prober/prober.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poplarhook.example/lib/class"
@@ -51,6 +53,8 @@
 	interval time.Duration
 	clock    func() time.Time
 	count    func(event string)
+	// lastID numbers the probes: a connection does not carry two requests of the same id in a row.
+	lastID atomic.Uint64
 }
 
 // New returns a Prober that probes endpoints from which nothing was received for the interval.
@@ -107,7 +111,7 @@
 	defer cancel()
 	sentAt := p.clock()
 	response, err := p.sender.Send(ctx, binding.Binding{Endpoint: h}, job.Job{
-		ID:       "probe",
+		ID:       "probe-" + strconv.FormatUint(p.lastID.Add(1), 10),
 		Class:    class.Class{Name: "probe", Execution: class.Idempotent},
 		Method:   http.MethodGet,
 		URL:      &url.URL{Path: "/healthz"},
