Reset the connection of a caller on HTTP/1.0 when its answer breaks off

Callers on HTTP/1.1 miss the last chunk and notice. Change: such a connection is closed with a reset; the screened connection passes SetLinger on. Result: TestBrokenBodyIsResetForCallersOnHTTP10 fails before and passes after.

--- a/poplarhook/modules/screener/screener.go
+++ b/poplarhook/modules/screener/screener.go
@@ -222,3 +222,17 @@
 	}
 	return n
 }
+
+// lingerer is a connection whose close can be set to discard unsent data.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// SetLinger sets how the connection is closed: with zero seconds, by a reset. It does nothing if the inspected
+// connection cannot be closed so.
+func (c *conn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(lingerer); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
--- a/poplarhook/routers/caller/write.go
+++ b/poplarhook/routers/caller/write.go
@@ -76,7 +76,7 @@
 	}
 	w.WriteHeader(a.Status)
 	if r.Method != http.MethodHead {
-		c.writeBody(w, j, a)
+		c.writeBody(w, r, j, a)
 	}
 	took := c.clock().Sub(j.ArrivedAt)
 	c.count("served", j.Class.Name, took)
@@ -84,25 +84,51 @@
 		zap.Int("status", a.Status), zap.Int("sends", a.Attempts), zap.Duration("took", took), zap.Duration("target", j.Class.LatencyTarget()))
 }
 
-func (c *Caller) writeBody(w http.ResponseWriter, j job.Job, a *answer.Answer) {
+func (c *Caller) writeBody(w http.ResponseWriter, r *http.Request, j job.Job, a *answer.Answer) {
 	if _, err := w.Write(a.Start); err != nil {
-		c.closeConnection(j, "caller_gone")
+		c.closeConnection(w, r, j, "caller_gone")
 	}
 	if a.Rest == nil {
 		return
 	}
 	if _, err := io.Copy(w, a.Rest); err != nil {
-		c.closeConnection(j, "broken")
+		c.closeConnection(w, r, j, "broken")
 	}
 }
 
 // closeConnection closes the caller's connection, so that the caller does not take an incomplete answer for a complete
-// one.
-func (c *Caller) closeConnection(j job.Job, outcome string) {
+// one. With HTTP/1.0 the end of the connection is the end of a body without length, so it is reset then.
+func (c *Caller) closeConnection(w http.ResponseWriter, r *http.Request, j job.Job, outcome string) {
 	c.count(outcome, j.Class.Name, c.clock().Sub(j.ArrivedAt))
+	if !r.ProtoAtLeast(1, 1) {
+		c.resetConnection(w, j)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// lingerer is a connection that can be closed with a reset.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// resetConnection closes the caller's connection with a reset.
+func (c *Caller) resetConnection(w http.ResponseWriter, j job.Job) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		c.logger.Warn("connection of an incomplete answer could not be reset", zap.String("request", j.ID), zap.String("error", err.Error()))
+		return
+	}
+	if l, ok := conn.(lingerer); ok {
+		err = l.SetLinger(0)
+	}
+	if closeErr := conn.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		c.logger.Warn("connection of an incomplete answer could not be reset", zap.String("request", j.ID), zap.String("error", err.Error()))
+	}
+}
+
 // mayHaveBody reports whether an answer with the status may have a body.
 func mayHaveBody(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
--- a/poplarhook/services/gateway/gateway_test.go
+++ b/poplarhook/services/gateway/gateway_test.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"poplarhook.example/lib/host"
 	"poplarhook.example/lib/service"
@@ -216,6 +218,24 @@
 	})
 }
 
+// A caller on HTTP/1.0 takes the end of the connection for the end of a body without length, so a body that breaks off
+// must end with a reset.
+func TestBrokenBodyIsResetForCallersOnHTTP10(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newConfiguredTestEnv(t, 1)
+	w.setFault(time.Millisecond, imitator.EndlessBody)
+	conn, err := net.Dial("tcp", w.address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err = io.WriteString(conn, "GET /lookup/1 HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: old\r\nDeadline-Ms: 500\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	n, err := io.Copy(io.Discard, conn)
+	c.Assert(n > 64<<10, qt.IsTrue, qt.Commentf("%d bytes", n))
+	c.Assert(errors.Is(err, syscall.ECONNRESET), qt.IsTrue, qt.Commentf("%v after %d bytes", err, n))
+}
+
 // The id of a request is checked in the header in which the platform's callers send it.
 func TestAmbiguousRequestIDsAreRefused(t *testing.T) {
 	t.Parallel()
