Let callers whose requests endpoints refused come back within a tenth of a second

Cause: such a request, refused again for lack of the retry budget, was given a Retry-After of one second, of which the callers wait a third of their time left: the answer to the repeated request came late although other endpoints had room. Change: 30 to 100 ms, at random.

--- a/poplarhook/services/dispatcher/dispatcher_test.go
+++ b/poplarhook/services/dispatcher/dispatcher_test.go
@@ -219,6 +219,22 @@
 	}
 }
 
+// A request that endpoints refused may be repeated soon, and not by all callers at the same time.
+func TestRefusedRequestsMayBeRepeatedSoon(t *testing.T) {
+	c := quicktest.New(t)
+	refused := answerWith(http.StatusServiceUnavailable, "application/problem+json", refusalBody)
+	times := make(map[time.Duration]bool)
+	for range 50 {
+		s := &fakeSender{script: map[string]func(context.Context) (*http.Response, error){"a": refused, "b": refused, "c": refused, "d": refused}}
+		_, err := dispatcher.New(&fakeBinder{}, s, oneGroupPlanner{}).Dispatch(context.Background(), newJob(class.OnceOnly))
+		var r *refusal.Refusal
+		c.Assert(errors.As(err, &r), quicktest.IsTrue)
+		c.Assert(r.RetryAfter >= 30*time.Millisecond && r.RetryAfter <= 100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", r.RetryAfter))
+		times[r.RetryAfter] = true
+	}
+	c.Assert(len(times) > 10, quicktest.IsTrue, quicktest.Commentf("%d different times", len(times)))
+}
+
 // A panic in an attempt fails that attempt, also on the goroutine of a hedge. Once-only work may have run.
 func TestPanicFailsOnlyItsAttempt(t *testing.T) {
 	panics := func(context.Context) (*http.Response, error) { panic("malformed") }
--- a/poplarhook/services/dispatcher/once.go
+++ b/poplarhook/services/dispatcher/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -13,7 +14,12 @@
 	"poplarhook.example/poplarhook/models/requirement"
 )
 
-const retryAfter = time.Second
+const (
+	// minRetryAfter and maxRetryAfter bound the time after which a caller may repeat a request that endpoints refused or
+	// that did not reach them. Others may have room at once, and an answer to the repeated request may still be in time.
+	minRetryAfter = 30 * time.Millisecond
+	maxRetryAfter = 100 * time.Millisecond
+)
 
 // dispatchOnce sends a once-only job so that at most one endpoint may run it.
 //
@@ -49,13 +55,14 @@
 	return d.onceOnlyRetryBudget == nil || d.onceOnlyRetryBudget.Spend(d.clock(), j.Class.Service)
 }
 
-// notRunRefusal returns the refusal of a job that no endpoint ran.
+// notRunRefusal returns the refusal of a job that no endpoint ran. The times of return are spread, so that callers who
+// were refused together do not come back together.
 func notRunRefusal(err error) error {
 	var r *refusal.Refusal
 	if errors.As(err, &r) && errors.Is(r, refusal.ErrNotRun) {
 		return r
 	}
-	return refusal.NotRun(http.StatusServiceUnavailable, err.Error()).WithRetryAfter(retryAfter)
+	return refusal.NotRun(http.StatusServiceUnavailable, err.Error()).WithRetryAfter(minRetryAfter + rand.N(maxRetryAfter-minRetryAfter))
 }
 
 // unknownRefusal returns the refusal of a job that an endpoint may have run.
--- a/poplarhook/services/selector/overload_test.go
+++ b/poplarhook/services/selector/overload_test.go
@@ -32,6 +32,12 @@
 	overloadService = 90 * time.Millisecond
 	overloadTarget  = 250 * time.Millisecond
 	overloadBudget  = 1200 * time.Millisecond
+	// overloadHighShare is the share of the callers whose requests are urgent.
+	overloadHighShare = 0.1
+	// minEndpointRetryAfter and maxEndpointRetryAfter are the range of the time that the dispatcher gives to callers whose
+	// requests an endpoint refused.
+	minEndpointRetryAfter = 30 * time.Millisecond
+	maxEndpointRetryAfter = 100 * time.Millisecond
 	// overloadProbeRate is how many probes per second each host may send, as on the deployments with 60 probes a second
 	// for each endpoint.
 	overloadProbeRate = 0.7 * 60 * overloadEndpoints / overloadHosts
@@ -43,6 +49,8 @@
 	random  *rand.Rand
 	running int
 	queue   []chan struct{}
+	// refusedShare is the share of requests that the endpoint refuses although it has room.
+	refusedShare float64
 }
 
 func (e *simulatedEndpoint) report() report.Report {
@@ -54,7 +62,7 @@
 // serve works on one request and reports false if the endpoint refuses it.
 func (e *simulatedEndpoint) serve() bool {
 	e.mu.Lock()
-	if e.running == overloadSlots && len(e.queue) >= overloadQueue {
+	if (e.running == overloadSlots && len(e.queue) >= overloadQueue) || e.random.Float64() < e.refusedShare {
 		e.mu.Unlock()
 		return false
 	}
@@ -148,7 +156,7 @@
 	if answered {
 		return nil
 	}
-	return refusal.NotRun(503, "refused").WithRetryAfter(time.Second)
+	return refusal.NotRun(503, "refused").WithRetryAfter(minEndpointRetryAfter + rand.N(maxEndpointRetryAfter-minEndpointRetryAfter))
 }
 
 // call makes one caller's request and repeats it once if it is refused.
@@ -198,15 +206,15 @@
 // overloadCapacity is how many requests the endpoints can answer per second.
 const overloadCapacity = overloadEndpoints * overloadSlots * float64(time.Second) / float64(overloadService)
 
-// play lets callers arrive for some seconds at the given multiple of the capacity; highShare of them are urgent.
-func (w *overload) play(load, highShare float64, duration time.Duration) {
+// play lets callers arrive for some seconds at the given multiple of the capacity.
+func (w *overload) play(load float64, duration time.Duration) {
 	w.outcomes = map[string]*callerOutcomes{"normal": {}, "high": {}}
 	random := rand.New(rand.NewPCG(7, 7))
 	var callers sync.WaitGroup
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		urgency := requirement.Normal
 		w.mu.Lock()
-		if random.Float64() < highShare {
+		if random.Float64() < overloadHighShare {
 			urgency = requirement.High
 		}
 		pause := time.Duration(random.ExpFloat64() / (load * overloadCapacity) * float64(time.Second))
@@ -242,8 +250,8 @@
 				c := qt.New(t)
 				w := newOverload(t.Context())
 				// The hosts learn the usual service times before the overload begins.
-				w.play(0.5, 0.1, 2*time.Second)
-				w.play(load, 0.1, duration)
+				w.play(0.5, 2*time.Second)
+				w.play(load, duration)
 				high, normal := w.outcomes["high"], w.outcomes["normal"]
 				goodput := float64(high.inTime+normal.inTime) / overloadCapacity / duration.Seconds()
 				highServed := float64(high.inTime+high.late) / float64(high.callers)
@@ -256,3 +264,23 @@
 		})
 	}
 }
+
+// Callers whose requests an endpoint refuses come back soon enough for an answer in time: 99 of 100 answers have to be.
+func TestCallersRefusedByEndpointsAreAnsweredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const load, healthyEndpoints = 0.2, 4
+		c := qt.New(t)
+		w := newOverload(t.Context())
+		w.play(load, 2*time.Second)
+		for i, h := range w.listed {
+			if i >= healthyEndpoints {
+				w.endpoints[h.ID].refusedShare = 0.55
+			}
+		}
+		w.play(load, 8*time.Second)
+		high, normal := w.outcomes["high"], w.outcomes["normal"]
+		t.Logf("high %s; normal %s", high, normal)
+		inTime, late := high.inTime+normal.inTime, high.late+normal.late
+		c.Assert(float64(inTime) >= 0.99*float64(inTime+late), qt.IsTrue, qt.Commentf("%d in time, %d late", inTime, late))
+	})
+}
