--- a/lib/borrower/borrower.go
+++ b/lib/borrower/borrower.go
@@ -139,8 +139,9 @@
 // owner.
 //
 // While other borrowers wait, a credit is not used again once it has been held for the shorter of the hold time and the
-// maximum reuse time, or for a multiple of the time that a credit takes to arrive here if that is longer. If this host has requests in flight, a new request waits for one of their credits for a tenth of
-// the hold time, at most for the maximum local wait, before it demands another credit from the owner.
+// maximum reuse time, or for a multiple of the time that a credit takes to arrive here if that is longer. If this host
+// has requests in flight, a new request waits for one of their credits for a tenth of the hold time, at most for the
+// maximum local wait, before it demands another credit from the owner.
 func (b *Borrower) SetHoldTime(d time.Duration) {
 	b.holdTime = d
 }
