--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -17,8 +17,9 @@
 )
 
 var cases = map[string]func(c *run) (broken bool, err error){
-	"stray":  runStray,
-	"upload": runUpload,
+	"stray":    runStray,
+	"upload":   runUpload,
+	"pipeline": runPipeline,
 }
 
 func main() {
