--- a/review/rig/upload.go
+++ b/review/rig/upload.go
@@ -72,8 +72,8 @@
 	}
 	regions := map[string]string{"west-1": "west"}
 	var servers []*server
-	for range 6 {
-		s, err := c.startServer("i-"+newID(), "orders", "west-1", 4, 80*time.Millisecond)
+	for range 8 {
+		s, err := c.startServer("i-"+newID(), "orders", "west-1", 4, 150*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
@@ -97,7 +97,7 @@
 	var mu sync.Mutex
 	var all []reply
 	end := time.Now().Add(12 * time.Second)
-	for range 12 {
+	for range 24 {
 		group.Go(func() {
 			k := c.newClient(g.front)
 			for time.Now().Before(end) && g.isRunning() {
