Review: case 10, an answer that a server breaks off takes the one before it along

The handler of an answer that breaks off closes the socket at once. A further request of a client that pipelines meets the closed socket, and the reset discards what the client has not received yet of the complete answer before.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/poplarhook ] && [ -x target/review-rig-2 ] || { echo "build first: the deploy file, then review/build-2.sh"; exit 2; }
-exec target/review-rig-2 memory "$folder"
+exec target/review-rig-2 break "$folder"
--- a/review/rig-2/case_stop.go
+++ b/review/rig-2/case_stop.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +37,14 @@
 	return n, err
 }
 
+// archive serves downloads of the size in the query.
+func archive(w http.ResponseWriter, r *http.Request) {
+	_, text, _ := strings.Cut(r.URL.RawQuery, "size=")
+	size, _ := strconv.Atoi(text)
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	_, _ = w.Write(make([]byte, size))
+}
+
 // playStop stops one machine in order while clients have several downloads under way on each connection.
 func playStop(dir string, r *Record, trouble bool) int {
 	store := NewStore(r)
--- a/review/rig-2/gateway.go
+++ b/review/rig-2/gateway.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -157,20 +154,3 @@
 		g.Kill()
 	}
 }
-
-// memory returns a figure in kB of the process's status.
-func (g *Gateway) memory(field string) int {
-	file, err := os.Open(fmt.Sprintf("/proc/%d/status", g.process.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	defer file.Close()
-	lines := bufio.NewScanner(file)
-	for lines.Scan() {
-		if rest, found := strings.CutPrefix(lines.Text(), field+":"); found {
-			n, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return n
-		}
-	}
-	return 0
-}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -25,8 +25,8 @@
 	"quota":  playQuota,
 	"revoke": playRevoke,
 	"entry":  playEntry,
-	"memory": playMemory,
 	"stop":   playStop,
+	"break":  playBreak,
 }
 
 func main() {
