Let closed connections of callers wait until their responses have arrived

Cause: net/http closes the socket as soon as the last bytes are in the kernel's buffer. If the caller sends anything after that, the kernel answers with a reset and discards what it has not sent yet. That an answer breaks off, or that a stop sets Connection: close, are two ways to the same close. A test that closes a connection in twelve ways lost the response in each of them: orderly, by a header of the client, broken off, reset, after a malformed request, an unread body or a head that is too large, without keep-alive, evicted, drained, by Shutdown and by Close of the server.

The property, kept in conn.Close of the listener, through which all of them pass: bytes that were accepted for sending are not discarded. It closes the sending direction, discards what the client still sends, and closes the socket when the client has closed its side. The wait ends 2 s after the last write or after the client was last seen to receive something, after 30 s in any case, and reads 256 KiB at most; it does not hold a place at the limit on connections, and it ends at once if the client has closed first.

How long a connection waits is decided without a network (TestLingering*).

--- a/poplarhook/modules/screener/conn.go
+++ b/poplarhook/modules/screener/conn.go
@@ -116,6 +116,12 @@
 	// muted is true once the connection must be closed without a further response.
 	muted atomic.Bool
 
+	// reading is held while the connection is read. hasEnded is true once the client has closed its sending direction, and
+	// hasFailed once the connection has failed.
+	reading   sync.Mutex
+	hasEnded  atomic.Bool
+	hasFailed atomic.Bool
+
 	mu sync.Mutex
 	// unanswered is the number of requests whose head was read and that have not been answered, and waiting that of
 	// those whose body was read too.
@@ -136,6 +142,14 @@
 	// account is the id of the reservation of memory, and hasAccount true if there is one.
 	account    uint64
 	hasAccount bool
+	// lastWrite is the time of the last write, zero before the first.
+	lastWrite time.Time
+	// closed is true after Close, and resets if the connection ends with a reset.
+	closed bool
+	resets bool
+	// endLingering ends the wait for the client that Close has started at closedAt, nil without one and once it was called.
+	endLingering context.CancelFunc
+	closedAt     time.Time
 }
 
 // backgroundReadBytes is the size of the reads with which net/http detects the end of the connection while a request is in
@@ -156,7 +170,7 @@
 	if err := c.prepareRead(); err != nil {
 		return 0, c.closeSilently(err)
 	}
-	n, err := c.Conn.Read(p)
+	n, err := c.readSocket(p)
 	if n == 0 {
 		if errors.Is(err, os.ErrDeadlineExceeded) && c.hasOwnDeadlinePassed() {
 			return 0, c.closeSilently(err)
@@ -192,15 +206,59 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: err}
 }
 
+// readSocket reads from the socket until the connection is closed.
+func (c *conn) readSocket(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Read(p)
+	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF):
+		c.hasEnded.Store(true)
+	default:
+		c.hasFailed.Store(true)
+	}
+	return n, err
+}
+
 // Write writes to the connection, or does nothing after closeSilently.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.muted.Load() {
 		return len(p), nil
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(c.screener.writeTimeout)); err != nil {
+	return c.writeSocket(p, c.screener.writeTimeout)
+}
+
+// writeSocket writes to the socket until the connection is closed.
+func (c *conn) writeSocket(p []byte, timeout time.Duration) (int, error) {
+	if err := c.beginWrite(timeout); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.lastWrite = c.screener.clock()
+	c.mu.Unlock()
+	return n, err
+}
+
+// beginWrite sets the deadline of a write, and fails if the connection is closed.
+func (c *conn) beginWrite(timeout time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.lastWrite = c.screener.clock()
+	return c.SetWriteDeadline(time.Now().Add(timeout))
+}
+
+func (c *conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
 }
 
 // isBusy reports whether a request has to be answered.
@@ -245,7 +303,7 @@
 func (c *conn) limitHeadTime() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || !c.readDeadline.IsZero() && c.readDeadline.Before(c.headDeadline) {
+	if c.closed || c.closing || !c.readDeadline.IsZero() && c.readDeadline.Before(c.headDeadline) {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(c.headDeadline)
@@ -321,15 +379,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.hasAccount {
-		c.account, c.hasAccount = c.screener.memory.Open(c.interrupt), true
+		c.account, c.hasAccount = c.screener.memory.Open(c.interruptSocket), true
 	}
 }
 
-// interrupt makes the pending read of a head fail.
-func (c *conn) interrupt() {
-	_ = c.Conn.SetReadDeadline(pastDeadline)
-}
-
 // refuse counts a connection that is closed because of its client, and writes the refusal for the reason, if there is one.
 func (c *conn) refuse(reason error) error {
 	text := ""
@@ -345,8 +398,7 @@
 	}
 	c.screener.log(reason)
 	c.violation = nil
-	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
-	_, _ = io.WriteString(c.Conn, text)
+	_, _ = c.writeSocket([]byte(text), refusalTime)
 	return reason
 }
 
@@ -390,6 +442,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
+	if c.closed {
+		return net.ErrClosed
+	}
 	if c.closing && c.unanswered == 0 {
 		t = c.closeDeadline()
 	}
@@ -404,66 +459,6 @@
 	return c.closeAt
 }
 
-// closeUnlessBusy closes the connection once all requests that were read from it are answered. One that has not been
-// idle may complete the head of a request until the given time.
-//
-// The connection is closed by the goroutine that reads from it, which sees whether a request
-// arrives at the same moment.
-func (c *conn) closeUnlessBusy(closeAt time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing, c.closeAt = true, closeAt
-	if c.hasHadRequest && !c.isInHead {
-		c.closeAt = time.Time{}
-	}
-	if c.unanswered == 0 {
-		_ = c.Conn.SetReadDeadline(c.closeDeadline())
-	}
-}
-
-// standing returns whether the connection may be closed to make room, whether it is idle between requests, and since
-// when it waits.
-func (c *conn) standing() (closable, idle bool, since time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.unanswered == 0 && !c.closing, c.hasHadRequest && !c.isInHead, c.idleSince
-}
-
-// Close closes the connection.
-func (c *conn) Close() error {
-	if c.early != nil {
-		c.early.cancel()
-	}
-	c.mu.Lock()
-	release := c.detachAccount()
-	c.mu.Unlock()
-	release()
-	c.screener.remove(c)
-	return c.Conn.Close()
-}
-
-// lingerer is a connection whose close can be set to discard unsent data.
-type lingerer interface {
-	SetLinger(seconds int) error
-}
-
-// SetLinger sets how the connection is closed: with zero seconds, by a reset. It does nothing if the inspected
-// connection cannot be closed so.
-func (c *conn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(lingerer); ok {
-		return l.SetLinger(seconds)
-	}
-	return nil
-}
-
-// CloseWrite closes the sending direction, so that the client can still read a refusal.
-func (c *conn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return w.CloseWrite()
-	}
-	return nil
-}
-
 func (c *conn) scanBytes(p []byte) {
 	for len(p) > 0 {
 		if c.part == inBody || c.part == inChunk {
--- a/poplarhook/modules/screener/listener.go
+++ b/poplarhook/modules/screener/listener.go
@@ -63,6 +63,9 @@
 	// drained is closed when the last connection of a listener that drains is closed; nil before it drains.
 	drained chan struct{}
 	closeAt time.Time
+	// lingering is the context of closed connections that wait for their clients, and endLingering ends it.
+	lingering    context.Context //nolint:containedctx // the connections live as long as the listener
+	endLingering context.CancelFunc
 	// loggedAt is the time of the last log line, and unlogged the number of connections closed since then.
 	loggedAt time.Time
 	unlogged int
@@ -135,6 +138,7 @@
 		closed:         make(chan struct{}),
 		conns:          make(map[*conn]struct{}),
 	}
+	s.lingering, s.endLingering = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(s)
 	}
@@ -195,25 +199,25 @@
 }
 
 // makeRoom closes the connection that has waited longest without a complete head, or else the one that has been idle
-// longest. It returns false if there is none, or if too many are being closed already. It needs the lock.
+// longest. One that is closed already, but waits for its client, does not wait any longer. It returns false if there is
+// none to close, or if too many are being closed already. It needs the lock.
 func (s *Screener) makeRoom() bool {
-	if len(s.conns) >= s.maxConnections+closingConnections {
+	open, oldest := s.oldestByStanding()
+	victim := oldest[silent]
+	if victim == nil {
+		victim = oldest[idle]
+	}
+	if open >= s.maxConnections && victim == nil {
 		return false
 	}
-	var victim *conn
-	var victimIdle bool
-	var victimSince time.Time
-	for c := range s.conns {
-		closable, idle, since := c.standing()
-		if !closable {
-			continue
-		}
-		if victim == nil || victimIdle && !idle || victimIdle == idle && since.Before(victimSince) {
-			victim, victimIdle, victimSince = c, idle, since
-		}
+	if left := oldest[leaving]; left != nil {
+		left.cutLingering()
 	}
-	if victim == nil {
+	switch {
+	case len(s.conns) >= s.maxConnections+closingConnections:
 		return false
+	case open < s.maxConnections:
+		return true
 	}
 	s.count("connection_evicted")
 	s.logLocked("too many connections")
@@ -221,6 +225,23 @@
 	return true
 }
 
+// oldestByStanding returns how many connections stay open, and of each standing the connection that has it longest. It
+// needs the lock.
+func (s *Screener) oldestByStanding() (open int, oldest map[standing]*conn) {
+	oldest = make(map[standing]*conn)
+	since := make(map[standing]time.Time)
+	for c := range s.conns {
+		standing, at := c.standing()
+		if oldest[standing] == nil || at.Before(since[standing]) {
+			oldest[standing], since[standing] = c, at
+		}
+		if standing != leaving && standing != closing {
+			open++
+		}
+	}
+	return open, oldest
+}
+
 func (s *Screener) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/poplarhook/modules/screener/readahead.go
+++ b/poplarhook/modules/screener/readahead.go
@@ -159,7 +159,7 @@
 	ahead := append(make([]byte, 0, aheadBytes), c.unread...)
 	for len(ahead) < maxAheadBytes {
 		ahead = slices.Grow(ahead, 1)
-		n, err := c.Conn.Read(ahead[len(ahead):min(cap(ahead), maxAheadBytes)])
+		n, err := c.readSocket(ahead[len(ahead):min(cap(ahead), maxAheadBytes)])
 		c.keepViolation(c.scan(ahead[len(ahead) : len(ahead)+n]))
 		ahead = ahead[:len(ahead)+n]
 		c.unread = ahead
@@ -181,12 +181,12 @@
 // arrived. The rest is returned by the next reads.
 func (c *conn) readInBackground(p []byte) (int, error) {
 	if c.early == nil {
-		n, err := c.Conn.Read(p)
+		n, err := c.readSocket(p)
 		c.keepViolation(c.scan(p[:n]))
 		return n, err
 	}
 	ahead := make([]byte, aheadBytes)
-	n, err := c.Conn.Read(ahead)
+	n, err := c.readSocket(ahead)
 	c.keepViolation(c.scan(ahead[:n]))
 	copied := copy(p, ahead[:n])
 	c.unread = ahead[copied:n]
