Decode the objects of an answer of the store one by one if it cannot be read whole

Running hosts kept the endpoints that they knew and learned of no change.

Cause: the client decoded a list or the events of a watch with one call of the JSON package, which refuses a text that is nested deeper than 10,000 levels, also inside of a RawMessage. One entry that is nested 9,999 levels deep, legal by itself, exceeds that inside of an answer, and so hid all others of its kind, whichever that is.

The property: no object hides another one. It is kept in decodeAnswer, through which all lists and watches of all kinds go. A text that the JSON package refuses is split by its brackets and strings, to any depth and without recursion, and each object is decoded by itself. One whose spec cannot be decoded is skipped as before and counts as removed in a watch; one without a readable name is left out and logged. A list goes on behind such objects, and fails if no further name can be read. The same cause on a related path: the spec of an evacuation was passed on to other hosts as it was, inside of frames that add further levels; only the name of the object is used, so nothing else is passed on now.

TestOddEntriesDoNotHideEndpoints/deep, TestDeeplyNestedEntriesHideNoOthers and TestZoneOutWithDeeplyNestedEntry failed on the code before.

--- a/poplarhook/cmd/gateway.go
+++ b/poplarhook/cmd/gateway.go
@@ -150,7 +150,9 @@
 	logSkipped := func(name string, err error) {
 		logger.Warn("skipping invalid object of the store", zap.String("object", name), zap.String("error", err.Error()))
 	}
-	c := client.New(d.StoreAddress, client.WithCounter(count))
+	c := client.New(d.StoreAddress, client.WithCounter(count), client.WithUnreadable(func(kind string, objects int) {
+		logger.Warn("skipping objects of the store without a readable name", zap.String("kind", kind), zap.Int("objects", objects))
+	}))
 	decode := decoder.New(d.RegionOf)
 	return gateway.Platform{
 		Dialect: dialect.New(),
