Refuse requests that come to an endpoint too late in a stop

Cause: after the listener is closed, requests still come to endpoints, by open connections (further requests that were read, slow bodies) and inside of the host (waits for an endpoint, retries, hedges), and nothing compared their time with what is left of the stop.

All attempts of all requests pass through the binder, so services/offerlimiter stands before it: later than the notice and the half second that a new connection has for its first head (3 s of a stop of 6 s), an attempt is made only if the deadline of its request lies before the end of the stop. The others, also those that wait for an endpoint at that moment, are refused at once as not run, with a short Retry-After. The decision is models/stopper, tested without a network.

--- a/poplarhook/modules/screener/listener.go
+++ b/poplarhook/modules/screener/listener.go
@@ -118,8 +118,8 @@
 	unlimitedConnections = 1 << 30
 	// closingConnections is how many connections above the limit may exist while those that were closed for them end.
 	closingConnections = 16
-	// headGrace is for how long a listener that drains lets clients complete the head of their first request.
-	headGrace = 500 * time.Millisecond
+	// HeadGrace is for how long a listener that drains lets clients complete the head of their first request.
+	HeadGrace = 500 * time.Millisecond
 	// logInterval is the shortest time between two log lines about closed connections.
 	logInterval = time.Second
 )
@@ -284,7 +284,7 @@
 	s.mu.Lock()
 	if s.drained == nil {
 		s.drained = make(chan struct{})
-		s.closeAt = s.clock().Add(headGrace)
+		s.closeAt = s.clock().Add(HeadGrace)
 	}
 	for c := range s.conns {
 		c.closeUnlessBusy(s.closeAt)
--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"poplarhook.example/poplarhook/services/inspector"
 	"poplarhook.example/poplarhook/services/locator"
 	"poplarhook.example/poplarhook/services/memorylimiter"
+	"poplarhook.example/poplarhook/services/offerlimiter"
 	"poplarhook.example/poplarhook/services/quotakeeper"
 	"poplarhook.example/poplarhook/services/retrybudget"
 	"poplarhook.example/poplarhook/services/rolloutdecider"
@@ -63,6 +64,7 @@
 	// retryBudget limits hedges and retries together.
 	retryBudget *retrybudget.Budget
 	dispatcher  *dispatcher.Dispatcher
+	offers      *offerlimiter.Limiter
 	inspector   *inspector.Inspector
 	quotas      *quotakeeper.Keeper
 	archive     *archiver.Archiver
@@ -195,7 +197,8 @@
 	g.retryBudget = retrybudget.New(d.Bounds.RetryShare*retryShareFraction,
 		budgeter.WithMinimum(0),
 		budgeter.WithWindow(d.Bounds.RetryWindow()))
-	g.dispatcher = dispatcher.New(g.selector, g.sender, g.locator,
+	g.offers = offerlimiter.New(g.selector, g.clock, g.meter.Count)
+	g.dispatcher = dispatcher.New(g.offers, g.sender, g.locator,
 		dispatcher.WithClock(g.clock),
 		dispatcher.WithReader(g.platform.Dialect),
 		dispatcher.WithObserver(g.selector.Observe),
--- a/poplarhook/services/gateway/run.go
+++ b/poplarhook/services/gateway/run.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"poplarhook.example/lib/pauser"
+	"poplarhook.example/poplarhook/models/stopper"
 	"poplarhook.example/poplarhook/modules/screener"
 	"poplarhook.example/poplarhook/modules/server"
 	"poplarhook.example/poplarhook/services/inspector"
@@ -54,6 +55,9 @@
 	go func() {
 		<-ctx.Done()
 		g.draining.Store(true)
+		now := g.clock()
+		// A connection that has just been accepted may complete its first request within HeadGrace after the notice.
+		g.offers.Stop(now, stopper.New(now.Add(notice+screener.HeadGrace), now.Add(notice+limit)))
 		g.logger.Info("stopping: no longer ready", zap.Duration("notice", notice), zap.Duration("limit", limit))
 		_ = pauser.Pause(background, notice)
 		stopCallers()
--- /dev/null
+++ b/poplarhook/services/offerlimiter/doc.go
@@ -0,0 +1,2 @@
+// Package offerlimiter binds requests to endpoints and refuses those that come too late in a stop of this host.
+package offerlimiter
