--- a/poplarhook/modules/screener/close.go
+++ b/poplarhook/modules/screener/close.go
@@ -79,7 +79,7 @@
 	}
 	c.closed, c.closedAt = true, now
 	// Reads and writes that are pending end here.
-	_ = c.Conn.SetDeadline(pastDeadline)
+	_ = c.SetDeadline(pastDeadline)
 	release := c.detachAccount()
 	lingers := c.mustLinger(now)
 	l := newLingering(now, c.lastWrite, c.resets, c.hasEnded.Load())
--- a/poplarhook/services/gateway/linger_test.go
+++ b/poplarhook/services/gateway/linger_test.go
@@ -41,7 +41,7 @@
 	_, err := p.reader.Peek(1)
 	p.c.Assert(err, qt.IsNil)
 	for i := range 20 {
-		p.c.Assert(pauser.Pause(p.c.TB.Context(), 10*time.Millisecond), qt.IsNil)
+		p.c.Assert(pauser.Pause(p.c.Context(), 10*time.Millisecond), qt.IsNil)
 		_, _ = fmt.Fprintf(p.conn, "GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: further-%d\r\n\r\n", i)
 	}
 }
