Drain the callers' connections of serve like those of gateway, and bound the wait at its end

Both programs now drain their listener in the same way.

A drain that reaches its limit ends the wait of closed connections at once, so that clients that neither receive nor close cannot make a stop last longer than before (TestDrainEndsLingering). Two tests show the bounds against hostile clients: connections whose clients send without end are closed, and closed connections do not keep new ones out at the limit.

--- a/poplarhook/modules/screener/linger_internal_test.go
+++ b/poplarhook/modules/screener/linger_internal_test.go
@@ -1,10 +1,17 @@
 package screener
 
 import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"poplarhook.example/lib/awaiter"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -69,3 +76,75 @@
 	c.Check(waitOf(l, constant(0)), qt.Equals, time.Duration(0))
 	c.Check(waitOf(l, constant(1000)), qt.Equals, lingerTime)
 }
+
+// openConnections returns how many connections have not been closed.
+func (s *Screener) openConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// startClosing serves large responses that close their connections, and returns the listener when n clients have got the
+// start of one. They neither read on nor close.
+func startClosing(t *testing.T, n int, options ...Option) (*Screener, []net.Conn) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(MarkAmbiguous(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(make([]byte, 1<<20))
+	})))
+	server.Config.ConnContext = ConnContext
+	s := New(server.Listener, options...)
+	server.Listener = s
+	server.Start()
+	t.Cleanup(server.Close)
+	var clients []net.Conn
+	for range n {
+		conn, err := net.Dial("tcp", s.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { conn.Close() })
+		qt.Assert(t, conn.(*net.TCPConn).SetReadBuffer(32<<10), qt.IsNil)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.ReadFull(conn, make([]byte, 1))
+		qt.Assert(t, err, qt.IsNil)
+		clients = append(clients, conn)
+	}
+	return s, clients
+}
+
+// Clients that neither receive a response nor close must not keep the listener from draining beyond the limit, nor hold
+// its connections after it.
+func TestDrainEndsLingering(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s, _ := startClosing(t, 5)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	c.Assert(s.Drain(ctx), qt.ErrorIs, context.DeadlineExceeded)
+	awaiter.New(time.Millisecond).Await(t, time.Second, "all connections are closed", func() bool { return s.openConnections() == 0 })
+}
+
+// Clients that send without end on connections that are closed must not hold them, nor be read without end.
+func TestLingeringEndsWithClientsThatKeepSending(t *testing.T) {
+	t.Parallel()
+	s, clients := startClosing(t, 20)
+	for _, client := range clients {
+		go func() {
+			for piece := make([]byte, 32<<10); ; {
+				if _, err := client.Write(piece); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	awaiter.New(10*time.Millisecond).Await(t, 3*lingerTime, "all connections are closed", func() bool { return s.openConnections() == 0 })
+}
+
+// Connections that are closed but wait for their clients must not keep new ones out at the limit on connections.
+func TestLingeringMakesRoom(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const limit = 5
+	s, _ := startClosing(t, 8*limit, WithMaxConnections(limit))
+	c.Assert(s.openConnections() <= limit+closingConnections, qt.IsTrue)
+}
--- a/poplarhook/modules/screener/listener.go
+++ b/poplarhook/modules/screener/listener.go
@@ -279,7 +279,8 @@
 }
 
 // Drain stops accepting connections and closes the open ones: each once all requests that were read from it are
-// answered. It returns when none is left or the context ends.
+// answered and the responses have arrived, or their client had its time. It returns when none is left or the context ends;
+// then no connection waits for its client any longer.
 func (s *Screener) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	if s.drained == nil {
@@ -297,6 +298,7 @@
 	case <-drained:
 		return nil
 	case <-ctx.Done():
+		s.endLingering()
 		return ctx.Err()
 	}
 }
--- a/poplarhook/services/entry/run.go
+++ b/poplarhook/services/entry/run.go
@@ -40,15 +40,17 @@
 	if e.certifier != nil {
 		componentsDone = append(componentsDone, e.certifier.Run(background))
 	}
-	callers, stopCallers := context.WithCancel(background)
+	callersContext, stopCallers := context.WithCancel(background)
 	s := e.settings
+	callers := screener.New(e.listeners.Callers)
 	callerServer := server.New(screener.MarkAmbiguous(e.closeWhileDraining(e.callerHandler)),
 		server.WithMaxHeader(s.MaxHeader),
 		server.WithReadTimeout(s.ReadTimeout),
 		server.WithIdleTimeout(s.IdleTimeout),
 		server.WithConnContext(screener.ConnContext),
+		server.WithDrain(callers.Drain),
 		server.WithDrainLimit(s.DrainLimit))
-	callersDone := callerServer.Run(callers, screener.New(e.listeners.Callers))
+	callersDone := callerServer.Run(callersContext, callers)
 	go func() {
 		<-ctx.Done()
 		e.drain()
@@ -78,11 +80,12 @@
 	time.Sleep(e.settings.DrainNotice)
 }
 
-// closeWhileDraining asks callers to close their connections while the host is stopping.
+// closeWhileDraining asks callers to close their connections while the host is stopping, each with the response to the
+// last request that was read from it.
 func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.draining.Load() {
-			w.Header().Set("Connection", "close")
+			w = screener.CloseLast(w, r)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/tests/failures/stop_test.go
+++ b/tests/failures/stop_test.go
@@ -1,7 +1,12 @@
 package failures_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,3 +135,52 @@
 	t.Logf("not served: %v", f.unservedReasons())
 	qt.Check(t, f.countOutcomes(outcome.Unknown, outcome.Broken, outcome.NotRun), qt.Equals, 0)
 }
+
+// A request that was sent behind another one on its connection and read by a stopping host got no answer: the first
+// answer closed the connection.
+func TestPipelinedRequestsAreAnsweredWhenAHostStops(t *testing.T) {
+	c := qt.New(t)
+	running := startFleet(t, oneRegionDeployment(deployment.Service{Name: "allocation", Servers: 4}), fleet.WithEntries(1),
+		fleet.WithEntryArguments("--drain-notice", "1s"), fleet.WithEndpointArguments("--mean-service-ms", "300"))
+	entry := running.Entries()[0]
+	conn, err := net.Dial("tcp", entry.Address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(conn.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	reader := bufio.NewReader(conn)
+	order := newOrderEntry()
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n", order.Method, order.Path, order.Host)
+	receive := func() bool {
+		response, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		return response.Close
+	}
+	_, err = io.WriteString(conn, request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(receive(), qt.IsFalse)
+
+	process, err := running.Process(entry.ID)
+	c.Assert(err, qt.IsNil)
+	stopped := make(chan error, 1)
+	go func() { stopped <- process.Stop(20 * time.Second) }()
+	awaitCondition(t, "the host is not ready", func() bool { return !isReady(t, entry) })
+	_, err = io.WriteString(conn, request+request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(receive(), qt.IsFalse)
+	c.Assert(receive(), qt.IsTrue)
+	c.Assert(<-stopped, qt.IsNil)
+}
+
+// isReady reports whether the host says that it takes requests.
+func isReady(t *testing.T, entry host.Host) bool {
+	t.Helper()
+	response, err := http.Get("http://" + entry.AdminAddress + "/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
