Give hosts that the store does not list no share of the quotas

Cause: every host took 1/N of each quota and itself into the count, whether the others list it or not. An added host with more capacity than the others also ranked first, became its own pool host and granted at once.

A host that is not in the list delegates and lends nothing now, and ranks last, so that it gets tokens from the pool host of the others. newPair, the set-up of four tests, lists the host itself, as a host that delegates is listed.

--- a/poplarhook/models/delegator/cluster_loads_test.go
+++ b/poplarhook/models/delegator/cluster_loads_test.go
@@ -198,6 +198,35 @@
 	}
 }
 
+// Guards against hosts that are added while the store turns them away, so that the others do not list them: each of them
+// took the place of a pool host and granted a share of the quotas that the listed hosts had divided already.
+func TestUnlistedHostsGrantNothing(t *testing.T) {
+	for _, load := range []float64{usualLoad, 4} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			t.Parallel()
+			const unlisted = 50
+			c := newCluster(t, 9, newWorkspaces())
+			c.run(settleTime)
+			for range unlisted {
+				h := c.addHost(len(c.hosts))
+				h.unlisted = true
+				h.peer.Capacity = 9
+				h.start()
+			}
+			c.run(settleTime)
+			took := 20 * time.Second
+			c.load(c.now+took, load, steady, everywhere(c))
+			c.reset()
+			c.run(took + tokenWait)
+			s := c.print(fmt.Sprintf("%d of %d hosts unlisted, load %.3g", unlisted, len(c.hosts), load), took)
+			qt.Assert(t, s.excess <= 0, qt.IsTrue, qt.Commentf("%.0f over the limit of %s", s.excess, s.excessOf))
+			if load < 1 {
+				qt.Assert(t, wrongShare(s) < 0.005, qt.IsTrue)
+			}
+		})
+	}
+}
+
 // Guards against pool hosts that grant nothing for a second after all hosts lost power, and against a start allowance that
 // exceeds the limit, also where the hosts lent one a moment before, and with a workspace that is hot at that moment.
 func TestRequestsRunSoonAfterAllHostsRestart(t *testing.T) {
--- a/poplarhook/models/delegator/cluster_test.go
+++ b/poplarhook/models/delegator/cluster_test.go
@@ -104,6 +104,8 @@
 	peer   delegator.Peer
 	weight float64
 	dead   bool
+	// unlisted is true if the host is missing in the list of hosts.
+	unlisted bool
 	// frozen is true while the host's process does not run; inbox has what it receives meanwhile.
 	frozen   bool
 	inbox    []func()
@@ -165,7 +167,9 @@
 func (c *cluster) peers() []delegator.Peer {
 	var peers []delegator.Peer
 	for _, h := range c.hosts {
-		peers = append(peers, h.peer)
+		if !h.unlisted {
+			peers = append(peers, h.peer)
+		}
 	}
 	return peers
 }
--- a/poplarhook/models/delegator/delegator.go
+++ b/poplarhook/models/delegator/delegator.go
@@ -66,7 +66,9 @@
 	self      Peer
 	startedAt time.Duration
 	granter   *granter.Granter
-	hosts     int
+	// hosts is the number of listed entry hosts, and isListed true if this one is among them.
+	hosts    int
+	isListed bool
 	// ranked are all entry hosts including this one, the best pool host first.
 	ranked    []Peer
 	links     map[string]*link
@@ -112,14 +114,24 @@
 	return TokenWait
 }
 
-// SetPeers replaces the list of all entry hosts; this host is added if it is missing.
+// SetPeers replaces the list of all entry hosts.
+//
+// The listed hosts divide the quotas among themselves. One that is not listed, because the store turns it away or has lost
+// its entry, has no share of them: it gets tokens from a pool host, and is none itself for as long as any other answers.
 func (d *Delegator) SetPeers(peers []Peer) {
-	ranked := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.ID == d.self.ID })
-	ranked = append(ranked, d.self)
+	isSelf := func(p Peer) bool { return p.ID == d.self.ID }
+	d.hosts, d.isListed = len(peers), slices.ContainsFunc(peers, isSelf)
+	ranked := slices.DeleteFunc(slices.Clone(peers), isSelf)
+	if d.isListed {
+		ranked = append(ranked, d.self)
+	}
 	slices.SortFunc(ranked, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.ID, b.ID))
 	})
-	d.ranked, d.hosts = ranked, len(ranked)
+	if !d.isListed {
+		ranked = append(ranked, d.self)
+	}
+	d.ranked = ranked
 	d.granter.SetHosts(d.hosts, d.rank(d.self.ID))
 }
 
@@ -508,7 +520,7 @@
 // The pool host uses the share until granter.Delegation after the clock value. It sent that value before this host
 // received it, so the promise need not last longer than that after receivedAt.
 func (d *Delegator) renewPromise(now, receivedAt time.Duration, clock int64) int64 {
-	if now < d.startedAt+startDelay || d.promisedTo != d.current && now < d.promisedUntil {
+	if !d.isListed || now < d.startedAt+startDelay || d.promisedTo != d.current && now < d.promisedUntil {
 		return 0
 	}
 	until := receivedAt + granter.Delegation + driftReserve
@@ -526,7 +538,7 @@
 // two allowances that are so far apart that no window contains requests of both have that time and a window between them.
 // A host that restarts forgets what it lent, so of one that restarts once a window may contain two allowances.
 func (d *Delegator) lend(now time.Duration, isNew bool, receivedAt time.Duration, clock int64) int64 {
-	if now-receivedAt > maxClockAge {
+	if !d.isListed || now-receivedAt > maxClockAge {
 		return 0
 	}
 	least := d.granter.Window() + lendSpan + granter.LendLife + driftReserve
--- a/poplarhook/models/delegator/delegator_test.go
+++ b/poplarhook/models/delegator/delegator_test.go
@@ -19,7 +19,7 @@
 func newPair(t *testing.T) (*delegator.Delegator, string) {
 	t.Helper()
 	d := delegator.New(pairStart, delegator.Peer{ID: "b", Address: "b"}, granter.New(granter.Limits{Window: window, Overage: overage, Slack: slack}))
-	d.SetPeers([]delegator.Peer{{ID: "a", Address: "a", Capacity: 2}})
+	d.SetPeers([]delegator.Peer{{ID: "a", Address: "a", Capacity: 2}, {ID: "b", Address: "b"}})
 	d.SetWorkspaces(pairStart, []workspace.Workspace{{Name: "barley", RatePerSecond: 100, Burst: 100}})
 	open(t, d, pairStart)
 	return d, "a"
@@ -105,3 +105,29 @@
 	d.Receive(pairStart+160*time.Millisecond, pool, token.Reply{})
 	c.Assert(d.Wait(pairStart+160*time.Millisecond), qt.Equals, delegator.TokenWait)
 }
+
+// Guards against a host that is not listed, as the store turns it away, and that delegates or lends a share of the quotas
+// which the listed hosts have divided among themselves already.
+func TestUnlistedHostHasNoShare(t *testing.T) {
+	c := qt.New(t)
+	d, pool := newPair(t)
+	d.SetPeers([]delegator.Peer{{ID: pool, Address: "a"}, {ID: "c", Address: "c"}})
+	now := pairStart
+	ticket := d.Acquire(now, "barley")
+	for ; now < pairStart+5*time.Second; now += 20 * time.Millisecond {
+		for _, o := range d.Tick(now).Send {
+			c.Assert(o.Ask.Echo, qt.Equals, int64(0))
+			c.Assert(o.Ask.Lend, qt.Equals, int64(0))
+			d.Receive(now, o.To, token.Reply{Clock: now.Milliseconds(), Grant: o.Ask.Want})
+		}
+	}
+	c.Assert(ticket.State(), qt.Equals, delegator.Granted)
+	// Without a pool host it has no token, and uses none of its own.
+	d.Closed(now, pool)
+	waiting := d.Acquire(now, "barley")
+	for end := now + 5*time.Second; now < end; now += 20 * time.Millisecond {
+		d.Tick(now)
+	}
+	c.Assert(waiting.State(), qt.Equals, delegator.Waiting)
+	c.Assert(d.IsDelegated(now), qt.IsFalse)
+}
