Ask other hosts for their configuration before a starting host trusts a store

The running hosts kept the newer configuration.

Cause: the host cannot notice a restoration that it has not seen, and the store's list counted as a confirmation. A list with an older version than the known one is the sign of a restoration and does not replace it, also on a host that has not noticed one.

TestHostThatStartsAfterARestorationAcceptsNoRevokedKeys failed before, with version 1 in force.

--- a/poplarhook/services/supplier/cluster_test.go
+++ b/poplarhook/services/supplier/cluster_test.go
@@ -157,9 +157,11 @@
 
 // cluster is a store and entry hosts in one region.
 type cluster struct {
-	t     *testing.T
-	store *imitator.Store
-	hosts []*entryHost
+	// refuseNew makes the store refuse the calls of hosts that start from now on.
+	refuseNew bool
+	t         *testing.T
+	store     *imitator.Store
+	hosts     []*entryHost
 	// options are passed to each supplier.
 	options []supplier.Option
 }
@@ -188,7 +190,7 @@
 	w.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(w.t, err, qt.IsNil)
-	e := &entryHost{id: id, events: make(map[string]int)}
+	e := &entryHost{id: id, events: make(map[string]int), refused: w.refuseNew}
 	e.storeProxy = httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if e.isRefused() {
 			rw.WriteHeader(http.StatusServiceUnavailable)
--- a/poplarhook/services/supplier/confirmation.go
+++ b/poplarhook/services/supplier/confirmation.go
@@ -160,7 +160,7 @@
 	if s.recordRevision(revision) {
 		d.requestRelist()
 	}
-	target := newestConfiguration{s.configuration, s.wasRestored}
+	target := s.newestConfiguration()
 	listed := view.View[snapshot.Snapshot]{Items: items, Revision: revision, ConfirmedAt: s.clock()}
 	if !target.isOlder(listed) && !reflect.DeepEqual(target.Get().Items, items) {
 		// A list that changes nothing is not put, since the whole configuration would be sent to all readers.
--- a/poplarhook/services/supplier/restoration.go
+++ b/poplarhook/services/supplier/restoration.go
@@ -52,6 +52,23 @@
 	return true
 }
 
+// firstRevision is an early revision of the store, which any restoration follows.
+const firstRevision = 1
+
+// recordOlderList records that the store was restored before this host started, as another host knew a newer configuration.
+// This host's entry was written after that.
+func (s *Supplier) recordOlderList() {
+	r := &s.restoration
+	r.mu.Lock()
+	r.restoredFrom, r.isEntryChecked = max(r.restoredFrom, firstRevision), true
+	r.mu.Unlock()
+	s.counter("store_restored")
+	s.logger.Warn("store has an older configuration than another host; it was restored from an older copy")
+	if s.gracePeriod > 0 {
+		s.onRestored(s.gracePeriod)
+	}
+}
+
 // checkOwnEntry signals that this host's entry is lost if the first list of members after a restoration does not have
 // it. A store that still has it needs no further call.
 func (s *Supplier) checkOwnEntry(v view.View[host.Host]) {
@@ -89,17 +106,26 @@
 	return r.restoredFrom > 0
 }
 
-// newestConfiguration passes the configurations that the store has to the replica. Once the store was restored, a list
-// with an older version or without one leaves the known version in place: readers and hosts that start must not get an
-// older one than the others have.
+// newestConfiguration passes the configurations that the store has to the replica. A list with an older version leaves the
+// known version in place, since the store was restored then, and so does one without a version once that was noticed:
+// readers and hosts that start must not get an older one than the others have.
 type newestConfiguration struct {
 	*replica.Replica[snapshot.Snapshot]
 	wasRestored func() bool
+	// onOlder is called if a list is the first sign of a restoration.
+	onOlder func()
+}
+
+func (s *Supplier) newestConfiguration() newestConfiguration {
+	return newestConfiguration{Replica: s.configuration, wasRestored: s.wasRestored, onOlder: s.recordOlderList}
 }
 
 // PutList applies a list of the configuration.
 func (n newestConfiguration) PutList(v view.View[snapshot.Snapshot]) {
 	if n.isOlder(v) {
+		if !n.wasRestored() {
+			n.onOlder()
+		}
 		v.Items = n.Get().Items
 	}
 	n.Replica.PutList(v)
@@ -107,7 +133,8 @@
 
 // isOlder reports whether a list of the restored store has an older version than the known one.
 func (n newestConfiguration) isOlder(v view.View[snapshot.Snapshot]) bool {
-	return n.wasRestored() && newestVersion(v) < newestVersion(n.Get()) && !hasUnreadable(v)
+	listed := newestVersion(v)
+	return (listed > 0 || n.wasRestored()) && listed < newestVersion(n.Get()) && !hasUnreadable(v)
 }
 
 // hasUnreadable reports whether the store's configuration cannot be read at all, which the operators must learn.
--- a/poplarhook/services/supplier/storesession.go
+++ b/poplarhook/services/supplier/storesession.go
@@ -49,6 +49,7 @@
 	s.storeReachable.Store(false)
 	s.counter("source_store")
 	s.logger.Info("following the store")
+	s.askForConfiguration(ctx)
 	heartbeatsEnded := d.sendHeartbeats(ctx)
 	d.poll(ctx)
 	d.stopWatches()
@@ -211,7 +212,7 @@
 	}
 	batching := slices.Concat(options, []follower.Option{follower.WithPause(s.times.batchPause)})
 	ends := []<-chan error{
-		follower.New(feedConfiguration, s.store.Configurations, newestConfiguration{s.configuration, s.wasRestored}, slices.Concat(options, d.configurationOptions())...).Run(ctx),
+		follower.New(feedConfiguration, s.store.Configurations, s.newestConfiguration(), slices.Concat(options, d.configurationOptions())...).Run(ctx),
 		follower.New(feedEndpoints, s.store.Endpoints, s.endpoints, batching...).Run(ctx),
 		follower.New(feedMembers, s.store.Members, s.members, batching...).Run(ctx),
 	}
--- a/poplarhook/services/supplier/strict_test.go
+++ b/poplarhook/services/supplier/strict_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"poplarhook.example/lib/awaiter"
+	"poplarhook.example/lib/host"
 	"poplarhook.example/poplarhook/models/freshness"
 	"poplarhook.example/poplarhook/modules/bootclock"
 	"poplarhook.example/poplarhook/services/supplier"
@@ -319,3 +320,43 @@
 	qt.Assert(t, host.version(), qt.Equals, int64(2))
 	qt.Assert(t, s.isFresh(host), qt.IsTrue)
 }
+
+// A host that starts right after the store was restored from an older copy cannot notice that. It took the older
+// configuration from the store and accepted keys that had been taken away, although the other hosts know better.
+func TestHostThatStartsAfterARestorationAcceptsNoRevokedKeys(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newStrictCluster(t, 0)
+	s.store.SetEra(1)
+	old := s.store.Copy()
+	running := []*entryHost{s.startHost("host-0"), s.startHost("host-1")}
+	s.awaitFresh()
+	s.configure(2)
+	s.awaitAll(bound, "the configuration before the restoration", hasVersion(2))
+	for _, e := range running {
+		// They cannot write their entries again, so the host that starts finds no other host in the store.
+		e.setRefused(true)
+	}
+	s.store.Restore(old)
+	late := s.startHost("late", "127.0.0.1:1", running[0].server.Listener.Addr().String())
+	awaiter.New(5*time.Millisecond).Await(t, 5*time.Second, "the host accepts keys", func() bool { return s.isFresh(late) })
+	c.Check(late.eventCount("source_store") > 0, qt.IsTrue)
+	c.Check(late.wasRestored(), qt.IsTrue)
+	late.mu.Lock()
+	defer late.mu.Unlock()
+	c.Check(late.versions[0], qt.Equals, int64(2), qt.Commentf("%v", late.versions))
+	c.Check(slices.Contains(late.versions, 1), qt.IsFalse, qt.Commentf("%v", late.versions))
+}
+
+// A host that starts while the store refuses it must get all views from a seed, not only the configuration for which it asks
+// before it follows the store.
+func TestHostThatStartsWhileTheStoreRefusesItReadsASeed(t *testing.T) {
+	t.Parallel()
+	s := newStrictCluster(t, 1)
+	s.store.PutEndpoint(host.Host{ID: "endpoint", Service: "s", Address: "127.0.0.1:1", AvailabilityZone: "zone-1"})
+	s.awaitFresh()
+	s.awaitAll(bound, "the endpoint", func(e *entryHost) bool { return e.knows("endpoint") })
+	s.refuseNew = true
+	late := s.startHost("late", s.hosts[0].server.Listener.Addr().String())
+	awaiter.New(5*time.Millisecond).Await(t, 5*time.Second, "the host knows the endpoint and accepts keys", func() bool { return late.knows("endpoint") && s.isFresh(late) })
+}
--- a/poplarhook/services/supplier/supplier.go
+++ b/poplarhook/services/supplier/supplier.go
@@ -310,7 +310,8 @@
 // Those views may be old, but no older than the ones that the other hosts work with.
 func (s *Supplier) readSeeds(ctx context.Context) {
 	for _, address := range s.seeds {
-		if s.configuration.Get().Revision > 0 || ctx.Err() != nil {
+		// The configuration alone may have been read before.
+		if s.configuration.Get().Revision > 0 && s.endpoints.Get().Revision > 0 || ctx.Err() != nil {
 			return
 		}
 		if address == s.self.PeerAddress {
