Close silent connections within half of a short drain

Cause: no request was running.

The time for the first head is half of the drain limit now where that is shorter.

--- a/poplarhook/modules/screener/limits_test.go
+++ b/poplarhook/modules/screener/limits_test.go
@@ -363,3 +363,20 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, receive(t, failed), qt.ErrorIs, os.ErrDeadlineExceeded)
 }
+
+// A connection without a request, as clients open them in reserve, must not outlast a drain whose limit is shorter than the
+// time that it has for its first head otherwise. The stop counted as one that cut off requests.
+func TestSilentConnectionDoesNotOutlastAShortDrain(t *testing.T) {
+	c := qt.New(t)
+	s := newLimitedServer(t)
+	silent := s.dial(t, "")
+	// An answer on a later connection shows that this one was accepted.
+	response, err := http.Get("http://" + s.screener.Addr().String() + "/served")
+	c.Assert(err, qt.IsNil)
+	response.Body.Close()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusNoContent)
+	ctx, cancel := context.WithTimeout(t.Context(), screener.HeadGrace/2)
+	defer cancel()
+	c.Assert(s.screener.Drain(ctx), qt.IsNil)
+	c.Assert(statuses(t, silent), qt.HasLen, 0)
+}
--- a/poplarhook/modules/screener/listener.go
+++ b/poplarhook/modules/screener/listener.go
@@ -285,7 +285,12 @@
 	s.mu.Lock()
 	if s.drained == nil {
 		s.drained = make(chan struct{})
-		s.closeAt = s.clock().Add(HeadGrace)
+		now := s.clock()
+		s.closeAt = now.Add(HeadGrace)
+		if limit, limited := ctx.Deadline(); limited {
+			// Half of a short limit is left to close the connections.
+			s.closeAt = now.Add(min(HeadGrace, time.Until(limit)/2))
+		}
 	}
 	for c := range s.conns {
 		c.closeUnlessBusy(s.closeAt)
