--- a/poplarhook/services/gateway/gateway.go
+++ b/poplarhook/services/gateway/gateway.go
@@ -64,12 +64,13 @@
 	// retryBudget limits hedges and retries together.
 	retryBudget *retrybudget.Budget
 	dispatcher  *dispatcher.Dispatcher
-	offers      *offerlimiter.Limiter
-	inspector   *inspector.Inspector
-	quotas      *quotakeeper.Keeper
-	archive     *archiver.Archiver
-	callers     *caller.Caller
-	draining    atomic.Bool
+	// offers refuses requests that come to an endpoint too late in a stop.
+	offers    *offerlimiter.Limiter
+	inspector *inspector.Inspector
+	quotas    *quotakeeper.Keeper
+	archive   *archiver.Archiver
+	callers   *caller.Caller
+	draining  atomic.Bool
 	// configured is closed when the gateway has a configuration and endpoints for the first time.
 	configured chan struct{}
 	// firstUnconfigured is the arrival of the first request that found no configuration, in Unix nanoseconds, zero
--- a/poplarhook/services/supplier/asking.go
+++ b/poplarhook/services/supplier/asking.go
@@ -5,11 +5,15 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"poplarhook.example/poplarhook/models/frame"
 )
 
+// errNoConfiguration means that a host that was asked has no configuration itself.
+var errNoConfiguration = errors.New("host has no configuration")
+
 const (
 	// maxAskedHosts is how many other hosts are asked for their configuration.
 	maxAskedHosts = 3
@@ -59,12 +63,17 @@
 // readConfiguration applies the configuration of the host at the address if it is newer than the known one.
 func (s *Supplier) readConfiguration(ctx context.Context, address string) error {
 	apply := s.frameApplier()
+	hasConfiguration := false
 	err := s.subscriber.ReadFullView(ctx, address, func(f frame.Frame) error {
 		if f.Feed != feedConfiguration {
 			return nil
 		}
+		hasConfiguration = true
 		return apply(f)
 	})
+	if err == nil && !hasConfiguration {
+		err = errNoConfiguration
+	}
 	if err != nil {
 		s.logger.Info("reading the configuration of another host failed", zap.String("address", address), zap.String("error", err.Error()))
 		return err
