--- a/poplarhook/modules/screener/close.go
+++ b/poplarhook/modules/screener/close.go
@@ -83,7 +83,7 @@
 	release := c.detachAccount()
 	lingers := c.mustLinger(now)
 	l := newLingering(now, c.lastWrite, c.resets, c.hasEnded.Load())
-	ctx := c.screener.lingering
+	ctx := c.screener.lingerContext
 	if lingers {
 		ctx, c.endLingering = context.WithCancel(ctx)
 	}
--- a/poplarhook/modules/screener/listener.go
+++ b/poplarhook/modules/screener/listener.go
@@ -63,9 +63,9 @@
 	// drained is closed when the last connection of a listener that drains is closed; nil before it drains.
 	drained chan struct{}
 	closeAt time.Time
-	// lingering is the context of closed connections that wait for their clients, and endLingering ends it.
-	lingering    context.Context //nolint:containedctx // the connections live as long as the listener
-	endLingering context.CancelFunc
+	// lingerContext is the context of closed connections that wait for their clients, and endLingering ends it.
+	lingerContext context.Context //nolint:containedctx // the connections live as long as the listener
+	endLingering  context.CancelFunc
 	// loggedAt is the time of the last log line, and unlogged the number of connections closed since then.
 	loggedAt time.Time
 	unlogged int
@@ -138,7 +138,7 @@
 		closed:         make(chan struct{}),
 		conns:          make(map[*conn]struct{}),
 	}
-	s.lingering, s.endLingering = context.WithCancel(context.Background())
+	s.lingerContext, s.endLingering = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(s)
 	}
