--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -13,6 +13,7 @@
 
 var scenarios = map[string]scenario{
 	"chunk": playChunk,
+	"lost":  playLost,
 }
 
 // Exit statuses of a script.
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -65,13 +65,16 @@
 }
 
 // listen opens the server's port and serves.
-func (s *server) listen() error {
+func (s *server) listen() error { return s.listenWith(s) }
+
+// listenWith opens the server's port and serves with the handler.
+func (s *server) listenWith(handler http.Handler) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
 	s.listener, s.address, s.slot = l, l.Addr().String(), make(chan struct{}, s.slots)
-	go func() { _ = (&http.Server{Handler: s, IdleTimeout: 10 * time.Second}).Serve(l) }()
+	go func() { _ = (&http.Server{Handler: handler, IdleTimeout: 10 * time.Second}).Serve(l) }()
 	return nil
 }
 
