--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -12,8 +12,9 @@
 type scenario func(d *deployment, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
-	"chunk": playChunk,
-	"lost":  playLost,
+	"chunk":   playChunk,
+	"lost":    playLost,
+	"smuggle": playSmuggle,
 }
 
 // Exit statuses of a script.
