--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -15,6 +15,7 @@
 	"chunk":   playChunk,
 	"lost":    playLost,
 	"smuggle": playSmuggle,
+	"unread":  playUnread,
 }
 
 // Exit statuses of a script.
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -62,6 +62,8 @@
 	running  atomic.Int64
 	waiting  atomic.Int64
 	slot     chan struct{}
+	// answerBytes is the least size of an answer.
+	answerBytes int
 }
 
 // listen opens the server's port and serves.
@@ -116,6 +118,9 @@
 	s.setLoad(w.Header())
 	w.Header().Set("Response-Signature", "sig."+s.id+"."+id)
 	answer := []byte("answer of " + s.id + " to " + id)
+	if missing := s.answerBytes - len(answer); missing > 0 {
+		answer = append(answer, make([]byte, missing)...)
+	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = w.Write(answer)
 }
