--- a/review/rig-3/case_lost.go
+++ b/review/rig-3/case_lost.go
@@ -50,7 +50,7 @@
 		a.running.Add(-1)
 		<-a.slot
 	}()
-	a.runs.add(run{at: time.Now(), id: id, server: a.id, method: r.Method, path: r.URL.RequestURI()})
+	a.runs.add(run{at: time.Now(), id: id, server: a.id, method: r.Method, path: r.RequestURI})
 	time.Sleep(a.work)
 	breaks := a.faulty && a.count.Add(1)%breakEach == 0
 	a.setLoad(w.Header())
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -16,6 +16,7 @@
 	"lost":    playLost,
 	"smuggle": playSmuggle,
 	"unread":  playUnread,
+	"path":    playPath,
 }
 
 // Exit statuses of a script.
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -110,8 +110,8 @@
 	s.waiting.Add(-1)
 	s.running.Add(1)
 	body, _ := io.Copy(io.Discard, r.Body)
-	s.rec.add("server %s runs %s: %s %s, body of %d bytes", s.id, id, r.Method, r.URL.RequestURI(), body)
-	s.runs.add(run{at: time.Now(), id: id, server: s.id, method: r.Method, path: r.URL.RequestURI(), bodySize: body})
+	s.rec.add("server %s runs %s: %s %s, body of %d bytes", s.id, id, r.Method, r.RequestURI, body)
+	s.runs.add(run{at: time.Now(), id: id, server: s.id, method: r.Method, path: r.RequestURI, bodySize: body})
 	time.Sleep(s.work)
 	s.running.Add(-1)
 	<-s.slot
