--- a/review/rig-3/case_smuggle.go
+++ b/review/rig-3/case_smuggle.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// playSmuggle sends two requests on a kept connection; the body of the second one is a text that looks like requests. In
-// the trouble the first one, in HTTP/1.0, declares chunks, which HTTP/1.0 does not know.
+// playSmuggle sends requests whose bodies are texts that look like requests. In the trouble the ends of some requests are
+// ambiguous: one declares two lengths, and one in HTTP/1.0, before the request with the body, declares chunks, which
+// HTTP/1.0 does not know.
 func playSmuggle(d *deployment, trouble bool) (string, error) {
 	d.store.put("config", "main", configuration(7, []route{{"r-stock", shopHost, shopPrefix, "safe", "stock", 1000}}, []string{"stock"}, nil))
 	if err := d.addServers("stock", 6, 2, 100*time.Millisecond); err != nil {
@@ -20,53 +21,101 @@
 	if a := send(d.rec, d.gateways[0], ordinary("before")); a.status != 200 {
 		return "", fmt.Errorf("%w: no answer before the disruption: %+v", errNotPlayed, a)
 	}
-	for i, g := range d.gateways {
-		inner := []string{fmt.Sprintf("inner%d-a", i), fmt.Sprintf("inner%d-b", i), fmt.Sprintf("inner%d-c", i)}
-		if err := sendNested(d.rec, g, i, inner, trouble); err != nil {
-			return "", err
-		}
-		time.Sleep(300 * time.Millisecond)
-		for _, id := range inner {
-			if ran := d.runs.of(id); len(ran) > 0 {
-				return fmt.Sprintf("UNASKED: server %s ran %s, which stood inside the body of another request", ran[0].server, id), nil
+	var smuggled []string
+	for name, play := range map[string]func(c *nestedClient) error{"lengths": (*nestedClient).sendTwoLengths, "chunks": (*nestedClient).sendBehindChunks} {
+		for i, g := range d.gateways {
+			c, err := newNestedClient(d.rec, g, fmt.Sprintf("%s%d", name, i), trouble)
+			if err != nil {
+				return "", err
+			}
+			err = play(c)
+			_ = c.conn.Close()
+			if err != nil {
+				return "", err
+			}
+			time.Sleep(300 * time.Millisecond)
+			for _, id := range c.inner {
+				if ran := d.runs.of(id); len(ran) > 0 {
+					smuggled = append(smuggled, fmt.Sprintf("%s at %s", id, ran[0].server))
+				}
 			}
 		}
 	}
+	if len(smuggled) > 0 {
+		return fmt.Sprintf("UNASKED: servers ran requests that stood inside the bodies of others: %v", smuggled), nil
+	}
 	return "", nil
 }
 
-// sendNested sends the requests on one connection.
-func sendNested(rec *record, g *gateway, n int, inner []string, trouble bool) error {
+// nestedClient is one connection on which a request is sent whose body looks like requests.
+type nestedClient struct {
+	rec     *record
+	name    string
+	inner   []string
+	body    string
+	trouble bool
+	conn    io.ReadWriteCloser
+	reader  *bufio.Reader
+}
+
+func newNestedClient(rec *record, g *gateway, name string, trouble bool) (*nestedClient, error) {
 	conn, err := dial(g)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errNotPlayed, err)
+		return nil, fmt.Errorf("%w: %w", errNotPlayed, err)
 	}
-	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(4 * time.Second))
-	reader := bufio.NewReader(conn)
-	head := fmt.Sprintf("GET %s2f HTTP/1.0\r\nHost: %s\r\nRequest-Id: first%d\r\nDeadline-Ms: 1000\r\nConnection: keep-alive\r\n", shopPrefix, shopHost, n)
-	if trouble {
-		head += "Transfer-Encoding: chunked\r\n"
+	c := &nestedClient{rec: rec, name: name, trouble: trouble, conn: conn, reader: bufio.NewReader(conn)}
+	for _, part := range []string{"a", "b", "c"} {
+		id := name + "-inner-" + part
+		c.inner = append(c.inner, id)
+		c.body += ordinary(id).text()
 	}
-	rec.add("client sends first%d to %s in HTTP/1.0, chunked: %v", n, g.name, trouble)
-	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
-		return fmt.Errorf("%w: %w", errNotPlayed, err)
+	rec.add("client opens connection %s to %s", name, g.name)
+	return c, nil
+}
+
+// exchange sends a text and reads one answer.
+func (c *nestedClient) exchange(what, text string) (answer, error) {
+	c.rec.add("client sends on %s: %s", c.name, what)
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		return answer{}, fmt.Errorf("%w: %w", errNotPlayed, err)
 	}
-	a := readAnswer(reader)
-	rec.add("client gets %d for first%d, error %v", a.status, n, a.err)
-	if a.err != nil {
-		return nil
+	a := readAnswer(c.reader)
+	c.rec.add("client gets on %s: status %d, error %v", c.name, a.status, a.err)
+	return a, nil
+}
+
+func (c *nestedClient) outer() request {
+	r := ordinary(c.name + "-outer")
+	r.method, r.body = "POST", c.body
+	return r
+}
+
+// sendTwoLengths sends a request with two lengths, in the trouble with two that differ.
+func (c *nestedClient) sendTwoLengths() error {
+	r := c.outer()
+	other := len(c.body)
+	if c.trouble {
+		other = 0
 	}
-	outer := ordinary(fmt.Sprintf("second%d", n))
-	outer.method = "POST"
-	for _, id := range inner {
-		outer.body += ordinary(id).text()
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 1000\r\nContent-Length: %d\r\nContent-Length: %d\r\n\r\n",
+		r.method, r.path, r.host, r.id, len(c.body), other)
+	_, err := c.exchange(fmt.Sprintf("%s with lengths %d and %d, in whose body %v stand", r.id, len(c.body), other, c.inner), head+c.body)
+	return err
+}
+
+// sendBehindChunks sends a request in HTTP/1.0, in the trouble with Transfer-Encoding, and after its answer one with the
+// body.
+func (c *nestedClient) sendBehindChunks() error {
+	head := fmt.Sprintf("GET %s2f HTTP/1.0\r\nHost: %s\r\nRequest-Id: %s-first\r\nDeadline-Ms: 1000\r\nConnection: keep-alive\r\n", shopPrefix, shopHost, c.name)
+	if c.trouble {
+		head += "Transfer-Encoding: chunked\r\n"
 	}
-	rec.add("client sends second%d with a body of %d bytes, in which %v stand", n, len(outer.body), inner)
-	if _, err := io.WriteString(conn, outer.text()); err != nil {
-		return nil
+	a, err := c.exchange(fmt.Sprintf("%s-first in HTTP/1.0, chunked: %v", c.name, c.trouble), head+"\r\n")
+	if err != nil || a.err != nil {
+		return err
 	}
-	a = readAnswer(reader)
-	rec.add("client gets %d for second%d, error %v", a.status, n, a.err)
-	return nil
+	r := c.outer()
+	_, err = c.exchange(fmt.Sprintf("%s, in whose body %v stand", r.id, c.inner), r.text())
+	return err
 }
