--- a/review/rig-3/deployment.go
+++ b/review/rig-3/deployment.go
@@ -29,6 +29,8 @@
 	// bounds replaces bounds of the settings.
 	bounds map[string]any
 	ports  []int
+	// storeWays are the addresses by which single gateways reach the store, that of the store itself for the others.
+	storeWays map[int]string
 }
 
 // errNotPlayed means that the case could not run.
@@ -59,6 +61,10 @@
 	for name, value := range d.bounds {
 		bounds[name] = value
 	}
+	storeAt := d.storeAt
+	if way, found := d.storeWays[index]; found {
+		storeAt = way
+	}
 	var seeds []string
 	for i := range zoneNames {
 		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", 11+i, ports[2]))
@@ -70,7 +76,7 @@
 			"front": fmt.Sprintf("%s:%d", address, ports[0]), "ready": fmt.Sprintf("%s:%d", address, ports[1]),
 			"control": fmt.Sprintf("%s:%d", address, ports[2]),
 		},
-		"platform": map[string]any{"address": d.storeAt, "history_s": 20},
+		"platform": map[string]any{"address": storeAt, "history_s": 20},
 		"limits":   map[string]any{"cpu_share": 0.32, "link_mbps": 1000.0, "memory_mb": 284, "max_fds": 4100},
 		"bounds":   bounds,
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -16,6 +16,8 @@
 	"lost":    playLost,
 	"smuggle": playSmuggle,
 	"unread":  playUnread,
+	"revoke":  playRevoke,
+	"stop":    playStop,
 	"path":    playPath,
 }
 
