--- a/review/rig-3/case_unread.go
+++ b/review/rig-3/case_unread.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,19 +13,17 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"context"
 )
 
 const (
-	// unreadClients is how many connections the clients open to one gateway, half of those that it accepts.
-	unreadClients = 900
+	// unreadClients is how many connections the clients open to one gateway, less than half of those that it accepts.
+	unreadClients = 500
 	// unreadRequests is how many requests each client sends without waiting for answers.
 	unreadRequests = 30
 	// pictureBytes is the size of an answer.
 	pictureBytes = 60_000
-	// memoryMB is the memory of the gateway's machine in the settings.
-	memoryMB = 284
+	// memoryMB is the memory of the gateway's machine in the settings, that of the smallest machines of maua-gw.
+	memoryMB = 184
 	// segmentBytes is the largest segment that the clients accept, that of an ordinary network. That of the loopback
 	// interface is 64 KiB.
 	segmentBytes = 1400
@@ -39,6 +38,7 @@
 	for _, s := range d.servers {
 		s.answerBytes = pictureBytes
 	}
+	d.memoryMB = memoryMB
 	if err := d.startGateways(); err != nil {
 		return "", err
 	}
@@ -51,7 +51,7 @@
 	release := make(chan struct{})
 	for i := range unreadClients {
 		clients.Go(func() { unreadClient(d.rec, target, i, trouble, release, &read) })
-		time.Sleep(6 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
 	peak, broken := 0, ""
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && broken == ""; time.Sleep(100 * time.Millisecond) {
--- a/review/rig-3/deployment.go
+++ b/review/rig-3/deployment.go
@@ -26,6 +26,8 @@
 	storeAt  string
 	servers  []*server
 	gateways []*gateway
+	// memoryMB is the memory of the machines in the settings.
+	memoryMB int
 	// bounds replaces bounds of the settings.
 	bounds map[string]any
 	ports  []int
@@ -45,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{root: root, folder: folder, rec: rec, runs: &runs{}, store: newStore(), storeAt: l.Addr().String(), bounds: map[string]any{}}
+	d := &deployment{root: root, folder: folder, rec: rec, runs: &runs{}, store: newStore(), storeAt: l.Addr().String(), memoryMB: 284, bounds: map[string]any{}}
 	go func() { _ = http.Serve(l, d.store) }()
 	return d, nil
 }
@@ -77,7 +79,7 @@
 			"control": fmt.Sprintf("%s:%d", address, ports[2]),
 		},
 		"platform": map[string]any{"address": storeAt, "history_s": 20},
-		"limits":   map[string]any{"cpu_share": 0.32, "link_mbps": 1000.0, "memory_mb": 284, "max_fds": 4100},
+		"limits":   map[string]any{"cpu_share": 0.32, "link_mbps": 1000.0, "memory_mb": d.memoryMB, "max_fds": 4100},
 		"bounds":   bounds,
 	}
 }
