--- a/review/rig-3/case_lost.go
+++ b/review/rig-3/case_lost.go
@@ -19,6 +19,9 @@
 	lostDuration = 25 * time.Second
 	// lookupsBehind is how many lookups are sent behind a download before it is answered.
 	lookupsBehind = 4
+	// breakTime is how long the servers are faulty, from the start of each breakInterval on.
+	breakTime     = 5 * time.Second
+	breakInterval = 10 * time.Second
 	// breakEach is how many answers of a faulty server one is broken off of: 0.02, the dose of garble.
 	breakEach = 50
 	// archiveBytes is the size of a download.
@@ -27,12 +30,13 @@
 	allowedLost = 3
 )
 
-// archive is a server of downloads. A faulty one breaks off each breakEach-th of its answers halfway.
+// archive is a server of downloads. A faulty one breaks off each breakEach-th of its answers halfway, at the times for it.
 type archive struct {
 	*server
-	faulty bool
-	count  atomic.Int64
-	broken *atomic.Int64
+	faulty  bool
+	started time.Time
+	count   atomic.Int64
+	broken  *atomic.Int64
 }
 
 // ServeHTTP serves health checks and downloads.
@@ -52,7 +56,7 @@
 	}()
 	a.runs.add(run{at: time.Now(), id: id, server: a.id, method: r.Method, path: r.RequestURI})
 	time.Sleep(a.work)
-	breaks := a.faulty && a.count.Add(1)%breakEach == 0
+	breaks := a.faulty && time.Since(a.started)%breakInterval < breakTime && a.count.Add(1)%breakEach == 0
 	a.setLoad(w.Header())
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Signature", "sig."+a.id+"."+id)
@@ -82,7 +86,7 @@
 	var broken atomic.Int64
 	for i := range 6 {
 		s := &server{id: fmt.Sprintf("i-mapvault%02d", i), service: "mapvault", zone: zoneNames[i%len(zoneNames)], slots: 4, work: 60 * time.Millisecond, rec: d.rec, runs: d.runs}
-		if err := s.listenWith(&archive{server: s, faulty: trouble && i < 3, broken: &broken}); err != nil {
+		if err := s.listenWith(&archive{server: s, faulty: trouble && i < 3, started: time.Now(), broken: &broken}); err != nil {
 			return "", err
 		}
 		d.store.put("servers", s.id, s.entry(1))
--- a/review/rig-3/case_stop.go
+++ b/review/rig-3/case_stop.go
@@ -40,18 +40,16 @@
 	if err := d.startGateways(); err != nil {
 		return "", err
 	}
+	target := d.gateways[0]
 	if trouble {
 		d.bounds["grace_s"] = graceS
-		for i, g := range d.gateways {
-			if err := d.writeSettings(i); err != nil {
-				return "", err
-			}
-			g.signal(syscall.SIGHUP)
-			d.rec.add("settings of %s changed: grace_s %d, was %d; SIGHUP", g.name, graceS, longGraceS)
+		if err := d.writeSettings(0); err != nil {
+			return "", err
 		}
+		target.signal(syscall.SIGHUP)
+		d.rec.add("settings of %s changed: grace_s %d, was %d; SIGHUP", target.name, graceS, longGraceS)
 	}
 	time.Sleep(2 * time.Second)
-	target := d.gateways[0]
 	var clients sync.WaitGroup
 	lost := make([]string, stopClients)
 	for i := range stopClients {
