--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/rig-3"
 mkdir -p ../../target
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/rig-3 .
+GOWORK=off GOTOOLCHAIN=local GOPROXY=off go build -o ../../target/rig-3 .
