--- a/review/rig-3/case_unread.go
+++ b/review/rig-3/case_unread.go
@@ -20,6 +20,8 @@
 	unreadClients = 500
 	// unreadRequests is how many requests each client sends without waiting for answers.
 	unreadRequests = 30
+	// unreadTime is how long the clients of one round stay.
+	unreadTime = 15 * time.Second
 	// pictureBytes is the size of an answer.
 	pictureBytes = 60_000
 	// memoryMB is the memory of the gateway's machine in the settings, that of the smallest machines of maua-gw.
@@ -29,7 +31,8 @@
 	segmentBytes = 1400
 )
 
-// playUnread lets clients of one gateway send requests one behind the other. In the trouble they do not read the answers.
+// playUnread lets clients of two gateways send requests one behind the other, three times. In the trouble they do not read
+// the answers. A process that takes more memory than its machine has is killed and started again, as the platform does.
 func playUnread(d *deployment, trouble bool) (string, error) {
 	d.store.put("config", "main", configuration(7, []route{{"r-stock", shopHost, shopPrefix, "safe", "stock", 4000}}, []string{"stock"}, nil))
 	if err := d.addServers("stock", 12, 4, 4*time.Millisecond); err != nil {
@@ -42,35 +45,74 @@
 	if err := d.startGateways(); err != nil {
 		return "", err
 	}
-	target := d.gateways[0]
-	if a := send(d.rec, target, ordinary("before")); a.status != 200 {
-		return "", fmt.Errorf("%w: no answer before the disruption: %+v", errNotPlayed, a)
+	targets := d.gateways[:faultMachines]
+	ends := make([]int, len(targets))
+	for round := range faultEnds {
+		var attacks sync.WaitGroup
+		for i, g := range targets {
+			if a := send(d.rec, g, ordinary(fmt.Sprintf("before%d-%d", round, i))); a.status != 200 {
+				return "", fmt.Errorf("%w: no answer before the disruption: %+v", errNotPlayed, a)
+			}
+		}
+		for i, g := range targets {
+			attacks.Go(func() {
+				if d.playUnreadAt(g, round, trouble) {
+					ends[i]++
+				}
+			})
+		}
+		attacks.Wait()
+		time.Sleep(restartDelay)
+		for _, g := range targets {
+			if _, ended := g.hasEnded(); !ended {
+				continue
+			}
+			if err := g.start(d.root); err != nil {
+				return "", err
+			}
+			if err := d.awaitReady(5*time.Second, g); err != nil {
+				return "", err
+			}
+		}
 	}
+	if broken := faultOf(ends); broken != "" {
+		return broken + fmt.Sprintf(" over the %d MB of memory that these have", memoryMB), nil
+	}
+	return "", nil
+}
+
+// playUnreadAt lets the clients of one gateway send, and reports whether its process had to be killed for its memory.
+func (d *deployment) playUnreadAt(g *gateway, round int, trouble bool) (killed bool) {
 	var read atomic.Int64
 	var clients sync.WaitGroup
 	release := make(chan struct{})
-	for i := range unreadClients {
-		clients.Go(func() { unreadClient(d.rec, target, i, trouble, release, &read) })
-		time.Sleep(10 * time.Millisecond)
-	}
-	peak, broken := 0, ""
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && broken == ""; time.Sleep(100 * time.Millisecond) {
-		if outcome, ended := target.hasEnded(); ended {
-			broken = fmt.Sprintf("Fault: %s ended by itself: %s", describe(target), outcome)
+	clients.Go(func() {
+		for i := range unreadClients {
+			select {
+			case <-release:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			clients.Go(func() { unreadClient(d.rec, g, fmt.Sprintf("%d-%s-%d", round, g.name, i), trouble, release, &read) })
+		}
+	})
+	peak := 0
+	for end := time.Now().Add(unreadTime); time.Now().Before(end) && !killed; time.Sleep(100 * time.Millisecond) {
+		if outcome, ended := g.hasEnded(); ended {
+			d.rec.add("%s has ended by itself: %s", describe(g), outcome)
+			killed = true
 			break
 		}
-		if peak = max(peak, target.anonymousMB()); peak > memoryMB {
-			broken = fmt.Sprintf("Fault: the process of %s takes %d MB of memory, and its machine has %d", describe(target), peak, memoryMB)
+		if peak = max(peak, g.anonymousMB()); peak > memoryMB {
+			d.rec.add("%s takes %d MB, and its machine has %d: the platform kills it", describe(g), peak, memoryMB)
+			g.kill()
+			killed = true
 		}
 	}
-	d.rec.add("peak of the anonymous memory of %s: %d MB; %d answers were read", target.name, peak, read.Load())
-	a := send(d.rec, target, ordinary("after"))
-	if broken == "" && a.status != 200 {
-		broken = fmt.Sprintf("Fault: an ordinary request at %s is not served: %+v", describe(target), a)
-	}
+	d.rec.add("round %d: peak of the anonymous memory of %s: %d MB; %d answers were read", round, g.name, peak, read.Load())
 	close(release)
 	clients.Wait()
-	return broken, nil
+	return killed
 }
 
 // anonymousMB returns the anonymous memory of the process in megabytes.
@@ -89,7 +131,7 @@
 }
 
 // unreadClient sends its requests and reads the answers, in the trouble only after the release.
-func unreadClient(rec *record, g *gateway, n int, trouble bool, release <-chan struct{}, read *atomic.Int64) {
+func unreadClient(rec *record, g *gateway, name string, trouble bool, release <-chan struct{}, read *atomic.Int64) {
 	dialer := net.Dialer{Timeout: 2 * time.Second, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
@@ -98,13 +140,13 @@
 	}}
 	conn, err := dialer.DialContext(context.Background(), "tcp", g.front)
 	if err != nil {
-		rec.add("client %d gets no connection: %v", n, err)
+		rec.add("client %s gets no connection: %v", name, err)
 		return
 	}
 	defer conn.Close()
 	var text strings.Builder
 	for i := range unreadRequests {
-		r := ordinary(fmt.Sprintf("u%d-%d", n, i))
+		r := ordinary(fmt.Sprintf("u%s-%d", name, i))
 		r.deadlineMS = 4000
 		text.WriteString(r.text())
 	}
@@ -112,9 +154,6 @@
 	if _, err := io.WriteString(conn, text.String()); err != nil {
 		return
 	}
-	if n%100 == 0 {
-		rec.add("client %d has sent %d requests to %s; it reads the answers: %v", n, unreadRequests, g.name, !trouble)
-	}
 	if trouble {
 		<-release
 		return
